--- /dev/null
+++ b/Makefile
@@ -0,0 +1,57 @@
+# Set-up happens on first use; nothing has to be installed beforehand but
+# Python 3.11 or newer with its venv module.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+SEED ?= 1
+CODE := src standins bench tools tests
+
+.PHONY: setup run test check unit prove measure capacity generate format clean
+
+setup: $(READY)
+
+$(READY): pyproject.toml
+	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $(READY)
+
+# A short mixed load over separate processes; the last line is JSON.
+run: $(READY)
+	$(BIN)/python -m bench.run --seed=$(SEED)
+
+# Everything that CI checks.
+test: check unit
+
+check: $(READY)
+	$(BIN)/ruff format --check --quiet .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/flake8 $(CODE)
+	$(BIN)/lint-imports --no-cache
+	$(BIN)/mypy
+
+unit: $(READY)
+	$(BIN)/python -m pytest
+
+# The proofs under failure, one JSON line for each property.
+prove: $(READY)
+	$(BIN)/python -m bench.prove --seed=$(SEED)
+
+# Cost, tail latency and share sent away, as JSON lines and a table.
+measure: $(READY)
+	$(BIN)/python -m bench.measure --seed=$(SEED)
+
+# The slopes behind docs/CAPACITY.md, with plots.
+capacity: $(READY)
+	$(BIN)/python -m bench.capacity
+
+generate: $(READY)
+	$(BIN)/python tools/generate.py
+	$(BIN)/ruff format --quiet src
+
+format: $(READY)
+	$(BIN)/ruff check --fix --quiet .
+	$(BIN)/ruff format --quiet .
+
+clean:
+	rm -rf out build .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and proofs over real processes of masticstage."""
--- /dev/null
+++ b/bench/callers.py
@@ -0,0 +1,133 @@
+"""Runs operations through the reference caller and notes what it was told."""
+
+import json
+from collections.abc import Iterable
+from itertools import pairwise
+from random import Random
+from time import monotonic
+
+import attrs
+import trio
+
+from bench.deployments import Deployment
+from bench.fleet import Fleet
+from bench.history import History, Observation
+from bench.workload import LOOK_UP, ONCE, Operation
+from masticstage.caller import Caller, ModelAnswer
+from masticstage.exceptions import MasticstageError
+from masticstage.outcomes import Outcome
+from standins.records import read_records
+
+_TIMEOUT_S = 40.0
+
+
+@attrs.define(eq=False)
+class CallerPool:
+    """One reference caller for each region."""
+
+    deployment: Deployment
+    callers: dict[str, Caller]
+    observations: list[Observation] = attrs.field(factory=list)
+    timeout_s: float = _TIMEOUT_S
+
+    async def run(self, operations: Iterable[Operation]) -> None:
+        """Runs operations at their times and waits for all of them."""
+        start_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for operation in operations:
+                await trio.sleep_until(start_s + operation.at_s)
+                nursery.start_soon(self.run_one, operation)
+
+    async def run_one(self, operation: Operation) -> None:
+        """Runs one operation and notes the observation."""
+        started_s = monotonic()
+        try:
+            seen = await self._send(operation)
+        except MasticstageError as error:
+            seen = Observation(operation, failure=str(error))
+        self.observations.append(
+            attrs.evolve(seen, started_s=started_s, ended_s=monotonic()),
+        )
+
+    async def close(self) -> None:
+        """Closes the connections of all callers."""
+        for caller in self.callers.values():
+            await caller.close()
+
+    async def _send(self, operation: Operation) -> Observation:
+        caller = self.callers[operation.region]
+        if operation.kind == LOOK_UP:
+            claim = operation.body['claim']
+            await caller.look_up(
+                self.deployment.application,
+                f'{self.deployment.lookup_path}?claim={claim}',
+                operation.request_id,
+                self.timeout_s,
+            )
+            return Observation(operation, outcome=Outcome.RAN)
+        if operation.kind == ONCE:
+            outcome = await caller.run_once(
+                self.deployment.application,
+                self.deployment.call_path,
+                operation.encode(),
+                operation.request_id,
+                self.timeout_s,
+            )
+            return Observation(operation, outcome=outcome.outcome)
+        answer = await caller.ask(
+            operation.body,
+            operation.kind,
+            operation.request_id,
+            self.timeout_s,
+        )
+        return _observe(operation, answer)
+
+
+def create_pool(fleet: Fleet, random: Random) -> CallerPool:
+    """Returns callers that know the entry instances of their region."""
+    deployment = fleet.deployment
+    callers = {
+        place.region: Caller(
+            fleet.entry_urls(place.region),
+            deployment.key_of(place.region),
+            Random(random.random()),
+        )
+        for place in deployment.places
+    }
+    return CallerPool(deployment, callers)
+
+
+def collect_history(fleet: Fleet, pool: CallerPool) -> History:
+    """Returns the records of callers, upstreams and instances together."""
+    return History(
+        fleet.deployment,
+        tuple(pool.observations),
+        tuple(read_records(fleet.folder, '*.jsonl')),
+        tuple(
+            line
+            for name in fleet.instances()
+            for line in _audit_lines(fleet, name)
+        ),
+    )
+
+
+def _audit_lines(fleet: Fleet, name: str) -> Iterable[dict[str, object]]:
+    for line in (fleet.folder / f'{name}.log').read_text().splitlines():
+        if line.startswith('{'):
+            fields = json.loads(line)
+            if fields.get('audit'):
+                yield fields
+
+
+def _observe(operation: Operation, answer: ModelAnswer) -> Observation:
+    arrivals = answer.arrivals_s
+    gaps = tuple(later - earlier for earlier, later in pairwise(arrivals))
+    return Observation(
+        operation,
+        text=answer.text,
+        first_s=arrivals[0],
+        gaps_s=gaps,
+        resumes=answer.resumes,
+        restarts=answer.restarts,
+        longest_stall_s=max(gaps, default=0),
+    )
--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,226 @@
+"""The two deployments of today, as published configurations."""
+
+import hashlib
+from types import MappingProxyType
+from typing import Any, Final
+
+import attrs
+
+
+@attrs.frozen
+class Place:
+    """One data centre with its region, instances and replicas."""
+
+    data_centre: str
+    region: str
+    instances: int
+    engines: int
+    applications: int
+
+
+@attrs.frozen
+class Deployment:
+    """Names, sizes and network of one user's deployment.
+
+    Latencies are one way, in seconds; the rate is in megabits per second.
+    """
+
+    name: str
+    places: tuple[Place, ...]
+    link_s: float
+    link_mbps: float
+    model: str
+    long_kind: str
+    application: str
+    call_path: str
+    lookup_path: str
+    shared_bytes: int
+    weights: dict[str, float]
+
+    def key_of(self, region: str) -> str:
+        """Returns the key of the team at home in a region."""
+        return f'{self.name}-{region}-key'
+
+    def team_of(self, region: str) -> str:
+        """Returns the name of the team at home in a region."""
+        return f'{self.name}-{region}'
+
+
+BALKON: Final = Deployment(
+    'balkon',
+    (
+        Place('split-a', 'dalmacija', 2, 2, 1),
+        Place('zagreb-b', 'zagreb', 1, 2, 1),
+        Place('osijek-a', 'slavonija', 1, 2, 1),
+    ),
+    0.055,
+    70.0,
+    'savjetnik',
+    'plan',
+    'narudzbe',
+    '/orders',
+    '/stock',
+    60_000,
+    {'latency': 1.0, 'traffic': 5.0, 'sent_away': 2.0},
+)
+DESZCZOMAT: Final = Deployment(
+    'deszczomat',
+    (
+        Place('mazowsze-a', 'mazowsze', 2, 2, 1),
+        Place('malopolska-a', 'malopolska', 1, 2, 1),
+        Place('pomorze-a', 'pomorze', 1, 2, 1),
+    ),
+    0.055,
+    1000.0,
+    'ruling-model',
+    'ruling',
+    'refund-app',
+    '/payouts',
+    '/claims',
+    90_000,
+    {'latency': 1.0, 'traffic': 0.1, 'sent_away': 0.05},
+)
+DEPLOYMENTS: Final = MappingProxyType(
+    {one.name: one for one in (BALKON, DESZCZOMAT)}
+)
+
+
+def build_configuration(
+    deployment: Deployment,
+    upstream_addresses: dict[str, str],
+) -> dict[str, Any]:
+    """Returns the configuration document of a deployment."""
+    regions = [place.region for place in deployment.places]
+    return {
+        'deployment': deployment.name,
+        'weights': deployment.weights,
+        'regions': [_region(deployment, place) for place in deployment.places],
+        'teams': [_team(deployment, region) for region in regions],
+        'services': [
+            _model_service(deployment, regions),
+            _application_service(deployment, regions),
+        ],
+        'upstreams': [
+            upstream
+            for place in deployment.places
+            for upstream in _upstreams(deployment, place, upstream_addresses)
+        ],
+    }
+
+
+def engine_names(place: Place) -> tuple[str, ...]:
+    """Returns the names of the engines of a data centre."""
+    return tuple(
+        f'{place.data_centre}-engine-{number}'
+        for number in range(place.engines)
+    )
+
+
+def application_names(place: Place) -> tuple[str, ...]:
+    """Returns the names of the applications of a data centre."""
+    return tuple(
+        f'{place.data_centre}-app-{number}'
+        for number in range(place.applications)
+    )
+
+
+def instance_names(place: Place) -> tuple[str, ...]:
+    """Returns the names of the entry instances of a data centre."""
+    return tuple(
+        f'{place.data_centre}-{number}' for number in range(place.instances)
+    )
+
+
+def _region(deployment: Deployment, place: Place) -> dict[str, Any]:
+    return {
+        'name': place.region,
+        'data_centres': [place.data_centre],
+        'link_mbps': deployment.link_mbps,
+        'link_ms': deployment.link_s * 1000,
+    }
+
+
+def _team(deployment: Deployment, region: str) -> dict[str, Any]:
+    key = deployment.key_of(region).encode()
+    return {
+        'name': deployment.team_of(region),
+        'home': region,
+        'key_sha256': hashlib.sha256(key).hexdigest(),
+    }
+
+
+def _model_service(
+    deployment: Deployment,
+    regions: list[str],
+) -> dict[str, Any]:
+    return {
+        'name': deployment.model,
+        'type': 'model',
+        'kinds': [
+            {
+                'name': 'question',
+                'regions': regions,
+                'priority': 8,
+                'timeout_ms': 20000,
+            },
+            {
+                'name': deployment.long_kind,
+                'regions': regions,
+                'priority': 4,
+                'timeout_ms': 60000,
+            },
+            {
+                'name': 'private',
+                'regions': regions,
+                'bound_to_home': True,
+                'timeout_ms': 60000,
+            },
+        ],
+    }
+
+
+def _application_service(
+    deployment: Deployment,
+    regions: list[str],
+) -> dict[str, Any]:
+    return {
+        'name': deployment.application,
+        'type': 'application',
+        'kinds': [
+            {
+                'name': 'once',
+                'regions': regions,
+                'path': deployment.call_path,
+                'timeout_ms': 3000,
+            },
+            {
+                'name': 'look-up',
+                'regions': regions,
+                'method': 'GET',
+                'path': deployment.lookup_path,
+                'idempotent': True,
+                'timeout_ms': 3000,
+            },
+        ],
+    }
+
+
+def _upstreams(
+    deployment: Deployment,
+    place: Place,
+    addresses: dict[str, str],
+) -> list[dict[str, Any]]:
+    return [
+        {
+            'name': name,
+            'service': service,
+            'data_centre': place.data_centre,
+            'address': f'http://{addresses[name]}',
+            'slots': 8,
+        }
+        for service, names in (
+            (deployment.model, engine_names(place)),
+            (deployment.application, application_names(place)),
+        )
+        for name in names
+    ]
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,420 @@
+"""Starts, disturbs and stops the processes of one deployment.
+
+All processes are separate and talk over loopback addresses.  Whatever was
+started is stopped, also when the run is interrupted.
+"""
+
+import json
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, Final, final
+
+import attrs
+import httpx
+import trio
+
+from bench.deployments import (
+    Deployment,
+    Place,
+    application_names,
+    build_configuration,
+    engine_names,
+    instance_names,
+)
+
+SECRET: Final = 'a-secret-for-trials-only'
+_READY_TIMEOUT_S: Final = 30.0
+_STOP_TIMEOUT_S: Final = 10.0
+_LOCAL_S: Final = 0.001
+_POLL_S: Final = 0.05
+_LOCAL_MBPS: Final = 10_000.0
+
+
+@attrs.define
+class FleetOptions:
+    """How the processes of a fleet are set up."""
+
+    tokens_per_s: float = 50.0
+    slots: int = 8
+    timing: dict[str, int] = attrs.field(factory=dict)
+    limits: dict[str, int] = attrs.field(factory=dict)
+
+
+@final
+@attrs.define(eq=False)
+class Fleet:
+    """The processes of one deployment and their addresses."""
+
+    deployment: Deployment
+    folder: Path
+    options: FleetOptions
+    addresses: dict[str, str] = attrs.field(factory=dict)
+    peer_addresses: dict[str, str] = attrs.field(factory=dict)
+    processes: dict[str, trio.Process] = attrs.field(factory=dict)
+    commands: dict[str, list[str]] = attrs.field(factory=dict)
+    version: int = 0
+    leaving: set[str] = attrs.field(factory=set)
+    started_ms: dict[str, int] = attrs.field(factory=dict)
+
+    async def start(self) -> None:
+        """Starts all processes and waits until the instances are ready."""
+        self._assign_addresses()
+        self._write_links()
+        self._plan_commands()
+        async with trio.open_nursery() as nursery:
+            for name in self.commands:
+                if name not in self.instances():
+                    nursery.start_soon(self.spawn, name)
+        for address in (self.addresses['platform'], *self._upstreams()):
+            await wait_for_port(address)
+        await self.publish_directory()
+        await self.publish()
+        for name in self.instances():
+            await self.spawn(name)
+        for name in self.instances():
+            await self.wait_ready(name)
+
+    async def stop(self) -> None:
+        """Terminates all processes, and kills those that do not end."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        with trio.move_on_after(_STOP_TIMEOUT_S):
+            for process in self.processes.values():
+                await process.wait()
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                await process.wait()
+
+    def instances(self) -> tuple[str, ...]:
+        """Returns the names of all entry instances."""
+        return tuple(
+            name
+            for place in self.deployment.places
+            for name in instance_names(place)
+        )
+
+    def place_of(self, name: str) -> Place:
+        """Returns the data centre of an instance or upstream."""
+        for place in self.deployment.places:
+            if name.startswith(place.data_centre):
+                return place
+        raise KeyError(name)
+
+    def entry_urls(self, region: str | None = None) -> tuple[str, ...]:
+        """Returns the caller addresses of the instances of a region."""
+        return tuple(
+            f'http://{self.addresses[name]}'
+            for name in self.instances()
+            if region in {None, self.place_of(name).region}
+        )
+
+    async def spawn(self, name: str) -> None:
+        """Starts one process; its output goes to a log file."""
+        log = (self.folder / f'{name}.log').open('ab')
+        self.processes[name] = await trio.lowlevel.open_process(
+            self.commands[name],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            stdin=subprocess.DEVNULL,
+        )
+        log.close()
+
+    async def kill(self, name: str) -> None:
+        """Kills one process and reaps it."""
+        process = self.processes[name]
+        process.kill()
+        await process.wait()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    async def wait_ready(self, name: str) -> None:
+        """Waits until an instance accepts work."""
+        url = f'http://{self.addresses[name]}/readyz'
+        with trio.fail_after(_READY_TIMEOUT_S):
+            while not await _is_success(url):
+                await trio.sleep(_POLL_S)
+
+    def configuration(self) -> dict[str, Any]:
+        """Returns the configuration document of the deployment."""
+        return build_configuration(self.deployment, self.addresses)
+
+    async def publish(
+        self,
+        document: dict[str, Any] | None = None,
+        version: int | None = None,
+    ) -> int:
+        """Publishes a configuration under the next version."""
+        self.version = version or self.version + 1
+        await self.control_platform(
+            'publish',
+            {
+                'version': self.version,
+                'value': document or self.configuration(),
+            },
+        )
+        return self.version
+
+    async def publish_directory(self) -> None:
+        """Publishes which instances and upstreams are live or leaving."""
+        await self.control_platform('directory', self._directory())
+
+    async def control_platform(
+        self,
+        action: str,
+        fields: dict[str, Any],
+    ) -> dict[str, Any]:
+        """Calls a control route of the platform's stand-in."""
+        url = f'http://{self.addresses["platform"]}/control/{action}'
+        async with httpx.AsyncClient(trust_env=False) as client:
+            response = await client.post(url, json=fields)
+        answered: dict[str, Any] = response.json()
+        return answered
+
+    async def control_links(self, pipes: list[str], mode: str) -> None:
+        """Sets the mode of directed pipes between places."""
+        url = f'http://{self.addresses["links"]}/control'
+        async with httpx.AsyncClient(trust_env=False) as client:
+            await client.post(url, json={'pipes': pipes, 'mode': mode})
+
+    async def link_bytes(self) -> dict[str, int]:
+        """Returns the bytes that each pipe has carried."""
+        url = f'http://{self.addresses["links"]}/bytes'
+        async with httpx.AsyncClient(trust_env=False) as client:
+            response = await client.get(url)
+        sent: dict[str, int] = response.json()
+        return sent
+
+    async def status(self, name: str, about: str = '') -> dict[str, Any]:
+        """Returns what an instance believes."""
+        url = f'http://{self.addresses[name]}/v1/status'
+        async with httpx.AsyncClient(trust_env=False, timeout=5) as client:
+            response = await client.get(url, params={'about': about})
+        described: dict[str, Any] = response.json()
+        return described
+
+    def pipes_of(self, data_centre: str) -> list[str]:
+        """Returns the pipes between a data centre and all other places."""
+        return [
+            name
+            for name in self._pipe_names()
+            if data_centre in name.split('>')
+        ]
+
+    def _assign_addresses(self) -> None:
+        names = ['platform', 'links', *self.instances()]
+        for place in self.deployment.places:
+            names.extend(engine_names(place))
+            names.extend(application_names(place))
+        ports = free_ports(len(names) + len(self.instances()))
+        for name in names:
+            self.addresses[name] = f'127.0.0.1:{next(ports)}'
+        for name in self.instances():
+            self.peer_addresses[name] = f'127.0.0.1:{next(ports)}'
+
+    def _upstreams(self) -> list[str]:
+        return [
+            address
+            for name, address in self.addresses.items()
+            if '-engine-' in name or '-app-' in name
+        ]
+
+    def _pipe_names(self) -> list[str]:
+        centres = [place.data_centre for place in self.deployment.places]
+        between = [
+            f'{here}>{there}'
+            for here in centres
+            for there in centres
+            if here != there
+        ]
+        reads = [f'{here}>platform' for here in centres]
+        return [*between, *reads, *(f'platform>{here}' for here in centres)]
+
+    def _write_links(self) -> None:
+        """Assigns the listeners and writes the settings of the links."""
+        links = [self._platform_link(place) for place in self.deployment.places]
+        links.extend(
+            self._peer_link(place, name)
+            for place in self.deployment.places
+            for name in self.instances()
+            if not name.startswith(place.data_centre)
+        )
+        settings = {
+            'control': self.addresses['links'],
+            'pipes': [self._pipe(name) for name in self._pipe_names()],
+            'links': links,
+        }
+        (self.folder / 'links.json').write_text(json.dumps(settings))
+
+    def _pipe(self, name: str) -> dict[str, Any]:
+        is_local = 'platform' in name
+        return {
+            'name': name,
+            'latency_s': _LOCAL_S if is_local else self.deployment.link_s,
+            'mbps': _LOCAL_MBPS if is_local else self.deployment.link_mbps,
+        }
+
+    def _platform_link(self, place: Place) -> dict[str, str]:
+        listen = f'127.0.0.1:{next(free_ports(1))}'
+        self.addresses[f'{place.data_centre}>platform'] = listen
+        return {
+            'listen': listen,
+            'target': self.addresses['platform'],
+            'forward': f'{place.data_centre}>platform',
+            'backward': f'platform>{place.data_centre}',
+        }
+
+    def _peer_link(self, place: Place, name: str) -> dict[str, str]:
+        listen = f'127.0.0.1:{next(free_ports(1))}'
+        there = self.place_of(name).data_centre
+        self.addresses[f'{place.data_centre}>{name}'] = listen
+        return {
+            'listen': listen,
+            'target': self.peer_addresses[name],
+            'forward': f'{place.data_centre}>{there}',
+            'backward': f'{there}>{place.data_centre}',
+        }
+
+    def _plan_commands(self) -> None:
+        python = sys.executable
+        address = self.addresses
+        self.commands['platform'] = [
+            python, '-m', 'standins.platform', address['platform'],
+        ]  # fmt: skip
+        self.commands['links'] = [
+            python, '-m', 'standins.links', str(self.folder / 'links.json'),
+        ]  # fmt: skip
+        for place in self.deployment.places:
+            for name in engine_names(place):
+                self.commands[name] = [
+                    python, '-m', 'standins.engine', name, address[name],
+                    str(self.folder / f'{name}.jsonl'),
+                    f'--slots={self.options.slots}',
+                    f'--tokens_per_s={self.options.tokens_per_s}',
+                ]  # fmt: skip
+            for name in application_names(place):
+                self.commands[name] = [
+                    python, '-m', 'standins.application', name, address[name],
+                    str(self.folder / f'{name}.jsonl'),
+                ]  # fmt: skip
+            for name in instance_names(place):
+                self.commands[name] = [
+                    python, '-m', 'masticstage.instance_program',
+                    str(self._write_settings(name, place)),
+                ]  # fmt: skip
+
+    def _write_settings(self, name: str, place: Place) -> Path:
+        path = self.folder / f'{name}.toml'
+        platform = self.addresses[f'{place.data_centre}>platform']
+        lines = [
+            '[instance]',
+            f'name = "{name}"',
+            f'data_centre = "{place.data_centre}"',
+            f'region = "{place.region}"',
+            f'caller_address = "{self.addresses[name]}"',
+            f'peer_address = "{self.peer_addresses[name]}"',
+            '[platform]',
+            f'address = "http://{platform}"',
+            '[tokens]',
+            f'secrets = ["{SECRET}"]',
+            '[timing]',
+            *(f'{key} = {ms}' for key, ms in self.options.timing.items()),
+            '[limits]',
+            *(f'{key} = {most}' for key, most in self.options.limits.items()),
+            *self._translations(place),
+        ]
+        path.write_text('\n'.join([*lines, '']))
+        return path
+
+    def _translations(self, place: Place) -> Iterator[str]:
+        for name in self.instances():
+            via = self.addresses.get(f'{place.data_centre}>{name}')
+            if via is not None:
+                yield '[[translations]]'
+                yield f'address = "{self.peer_addresses[name]}"'
+                yield f'via = "{via}"'
+
+    def _directory(self) -> dict[str, Any]:
+        return {
+            'instances': [
+                {
+                    'name': name,
+                    'data_centre': self.place_of(name).data_centre,
+                    'region': self.place_of(name).region,
+                    'peer_address': self.peer_addresses[name],
+                    'caller_address': self.addresses[name],
+                }
+                for name in self.instances()
+            ],
+            'upstreams': [
+                {
+                    'name': name,
+                    'incarnation': self.started_ms.get(name, 0),
+                    'state': 'leaving' if name in self.leaving else 'live',
+                }
+                for name in self.addresses
+                if '-engine-' in name or '-app-' in name
+            ],
+        }
+
+
+@asynccontextmanager
+async def running_fleet(
+    deployment: Deployment,
+    folder: Path,
+    options: FleetOptions | None = None,
+) -> AsyncIterator[Fleet]:
+    """Runs the processes of a deployment for the length of a block."""
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    fleet = Fleet(deployment, folder, options or FleetOptions())
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        with trio.CancelScope(shield=True):
+            await fleet.stop()
+
+
+def free_ports(count: int) -> Iterator[int]:
+    """Yields ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(('127.0.0.1', 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    yield from ports
+
+
+async def _is_success(url: str) -> bool:
+    async with httpx.AsyncClient(trust_env=False) as client:
+        try:
+            response = await client.get(url)
+        except httpx.HTTPError:
+            return False
+    return response.is_success
+
+
+async def wait_for_port(address: str) -> None:
+    """Waits until something listens on an address."""
+    host, _, port = address.partition(':')
+    with trio.fail_after(_READY_TIMEOUT_S):
+        while True:
+            try:
+                stream = await trio.open_tcp_stream(host, int(port))
+            except OSError:
+                await trio.sleep(_POLL_S)
+            else:
+                await stream.aclose()
+                return
--- /dev/null
+++ b/bench/workload.py
@@ -0,0 +1,119 @@
+"""Operations of realistic shape: conversations, calls and lookups."""
+
+import json
+from collections.abc import Iterator
+from random import Random
+from typing import Any, Final
+
+import attrs
+
+from bench.deployments import Deployment
+
+QUESTION: Final = 'question'
+PRIVATE: Final = 'private'
+ONCE: Final = 'once'
+LOOK_UP: Final = 'look-up'
+_SHORT: Final = 'short questions'
+
+
+@attrs.frozen
+class Mix:
+    """Relative frequency of the kinds, and lengths of answers in tokens."""
+
+    long_share: float = 0.15
+    question_share: float = 0.3
+    private_share: float = 0.14
+    once_share: float = 0.21
+    long_tokens: int = 60
+    short_tokens: int = 15
+    histories: int = 12
+
+
+@attrs.frozen
+class Operation:
+    """One request of one caller, at a time from the start in seconds."""
+
+    at_s: float
+    request_id: str
+    region: str
+    kind: str
+    body: dict[str, Any]
+
+    @property
+    def is_model(self) -> bool:
+        """Whether a model answers it."""
+        return 'messages' in self.body
+
+    def encode(self) -> bytes:
+        """Returns the body as the caller sends it."""
+        return json.dumps(
+            self.body,
+            ensure_ascii=False,
+            separators=(',', ':'),
+        ).encode()
+
+
+def generate_operations(
+    deployment: Deployment,
+    rate_per_s: float,
+    duration_s: float,
+    random: Random,
+    mix: Mix | None = None,
+) -> Iterator[Operation]:
+    """Yields operations with exponential gaps, for the given time."""
+    chosen = mix or Mix()
+    regions = [place.region for place in deployment.places]
+    prefix = random.randbytes(4).hex()
+    at_s = random.expovariate(rate_per_s)
+    number = 0
+    while at_s < duration_s:
+        kind = _draw_kind(deployment, chosen, random)
+        region = random.choice(regions)
+        request_id = f'{prefix}-{number}'
+        body = _body(deployment, kind, request_id, random, chosen)
+        yield Operation(at_s, request_id, region, kind, body)
+        at_s += random.expovariate(rate_per_s)
+        number += 1
+
+
+def shared_history(deployment: Deployment, number: int) -> str:
+    """Returns the long text that the requests of a conversation share."""
+    line = f'{deployment.name} history {number}: '
+    repeats = deployment.shared_bytes // len(line) + 1
+    return (line * repeats)[: deployment.shared_bytes]
+
+
+def _draw_kind(deployment: Deployment, mix: Mix, random: Random) -> str:
+    kinds = (deployment.long_kind, QUESTION, PRIVATE, ONCE, LOOK_UP)
+    shares = (
+        mix.long_share,
+        mix.question_share,
+        mix.private_share,
+        mix.once_share,
+    )
+    return random.choices(kinds, (*shares, 1 - sum(shares)))[0]
+
+
+def _body(
+    deployment: Deployment,
+    kind: str,
+    request_id: str,
+    random: Random,
+    mix: Mix,
+) -> dict[str, Any]:
+    if kind == ONCE:
+        return {'call': request_id, 'quantity': random.randrange(1, 9)}
+    if kind == LOOK_UP:
+        return {'claim': random.randrange(1000)}
+    is_short = kind == QUESTION
+    number = random.randrange(mix.histories)
+    history = _SHORT if is_short else shared_history(deployment, number)
+    return {
+        'model': deployment.model,
+        'stream': True,
+        'max_tokens': mix.short_tokens if is_short else mix.long_tokens,
+        'messages': [
+            {'role': 'system', 'content': history},
+            {'role': 'user', 'content': f'request {request_id}'},
+        ],
+    }
--- /dev/null
+++ b/src/masticstage/admission.py
@@ -0,0 +1,84 @@
+"""Limits at one instance: open requests, team shares and load shedding.
+
+Each instance enforces a team's share of its own open requests.  Callers
+spread over the entry instances, so the shares hold for the fleet without
+shared state.
+"""
+
+from collections import Counter
+from datetime import timedelta
+from typing import Final, final
+
+import attrs
+
+from masticstage.configuration import Catalogue
+from masticstage.configuration_schema import Kind, Team
+from masticstage.exceptions import (
+    OverloadedError,
+    RejectedError,
+    ShareExceededError,
+)
+
+#: Open requests that a team may always have at one instance.
+GUARANTEED_OPEN: Final = 4
+#: Part of a kind's timeout that its predicted wait may take.
+WAIT_SHARE: Final = 0.5
+
+
+@final
+@attrs.define
+class Admission:
+    """Open requests of one instance, by team and in total."""
+
+    _limit: int
+    _open: Counter[str] = attrs.field(factory=Counter)
+    _total: int = 0
+
+    @property
+    def total(self) -> int:
+        """Number of open requests."""
+        return self._total
+
+    def refusal(
+        self,
+        catalogue: Catalogue,
+        team: Team,
+        *,
+        is_congested: bool,
+    ) -> RejectedError | None:
+        """Returns why a team may not open one more request, if so."""
+        if self._total >= self._limit:
+            return OverloadedError('instance')
+        if is_congested and self._exceeds_share(catalogue, team):
+            return ShareExceededError(team.name)
+        return None
+
+    def open(self, team_name: str) -> None:
+        """Counts a request that is being served."""
+        self._open[team_name] += 1
+        self._total += 1
+
+    def close(self, team_name: str) -> None:
+        """Stops counting a request that has ended."""
+        self._total -= 1
+        self._open[team_name] -= 1
+        if not self._open[team_name]:
+            self._open.pop(team_name)
+
+    def _exceeds_share(self, catalogue: Catalogue, team: Team) -> bool:
+        used = self._open[team.name]
+        if used < GUARANTEED_OPEN:
+            return False
+        active = set(self._open) | {team.name}
+        shares = sum(
+            catalogue.teams[name].share
+            for name in active
+            if name in catalogue.teams
+        )
+        return used >= self._total * team.share / shares
+
+
+def is_too_late(kind: Kind, predicted_wait: timedelta) -> bool:
+    """Tells whether a request would miss its deadline in the queue."""
+    timeout = timedelta(milliseconds=kind.timeout_ms)
+    return predicted_wait > WAIT_SHARE * timeout
--- /dev/null
+++ b/src/masticstage/bridge.py
@@ -0,0 +1,22 @@
+"""Runs grpc.aio calls, which belong to asyncio, from trio tasks."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar, cast
+
+from trio_asyncio import aio_as_trio, trio_as_aio
+
+_Returned = TypeVar('_Returned')
+
+
+async def from_trio(start: Callable[[], Awaitable[_Returned]]) -> _Returned:
+    """Awaits an asyncio awaitable, made by `start`, in a trio task."""
+
+    async def awaited() -> _Returned:
+        return await start()
+
+    return cast('_Returned', await aio_as_trio(awaited)())
+
+
+async def from_asyncio(start: Callable[[], Awaitable[_Returned]]) -> _Returned:
+    """Awaits a trio awaitable, made by `start`, in an asyncio task."""
+    return cast('_Returned', await trio_as_aio(start)())
--- /dev/null
+++ b/src/masticstage/check_program.py
@@ -0,0 +1,58 @@
+"""The program masticstage-check: finds all faults of a file at once."""
+
+import json
+import sys
+from pathlib import Path
+
+import attrs
+import fire
+from returns.result import Failure, Result, Success
+
+from masticstage.configuration import check_configuration
+from masticstage.documents import Faults, read_toml
+from masticstage.exits import Exit
+from masticstage.settings import load_settings
+
+
+def print_faults(faults: Faults) -> None:
+    """Prints faults to standard error, one JSON object a line."""
+    for fault in faults:
+        sys.stderr.write(f'{json.dumps(attrs.asdict(fault))}\n')
+
+
+def check_settings(path: str) -> None:
+    """Checks the settings file of one instance.
+
+    Args:
+        path: the file (TOML).
+
+    """
+    _finish(load_settings(Path(path)), path)
+
+
+def check_published(path: str, version: int = 1) -> None:
+    """Checks a configuration before it is published.
+
+    Args:
+        path: the file (TOML).
+        version: the version under which it would be published.
+
+    """
+    checked = read_toml(Path(path)).bind(
+        lambda document: check_configuration(version, document),
+    )
+    _finish(checked, path)
+
+
+def _finish(checked: Result[object, Faults], path: str) -> None:
+    match checked:
+        case Failure(faults):
+            print_faults(faults)
+            sys.exit(Exit.BAD_INPUT)
+        case Success(_):
+            sys.stdout.write(f'{path}: no faults\n')
+
+
+def main() -> None:
+    """Entry point of the program."""
+    fire.Fire({'settings': check_settings, 'configuration': check_published})
--- /dev/null
+++ b/src/masticstage/clock.py
@@ -0,0 +1,99 @@
+"""Time as an interface, with a system clock and a manual one."""
+
+from datetime import UTC, datetime, timedelta
+from time import monotonic
+from typing import Protocol, final
+
+import attrs
+
+
+class Clock(Protocol):
+    """Source of the time of day and of elapsed time."""
+
+    def now(self) -> datetime:
+        """Returns the time of day in UTC."""
+
+    def elapsed(self) -> timedelta:
+        """Returns a monotonic time since an arbitrary start."""
+
+
+@final
+class SystemClock:
+    """Reads the clocks of the operating system."""
+
+    def now(self) -> datetime:
+        """Returns the time of day in UTC."""
+        return datetime.now(UTC)
+
+    def elapsed(self) -> timedelta:
+        """Returns the monotonic time of the system."""
+        return timedelta(seconds=monotonic())
+
+
+@final
+@attrs.define
+class ManualClock:
+    """A clock that moves only when told to, for tests and experiments."""
+
+    _now: datetime = datetime.fromtimestamp(0, UTC)
+    _elapsed: timedelta = timedelta()
+
+    def now(self) -> datetime:
+        """Returns the set time of day."""
+        return self._now
+
+    def elapsed(self) -> timedelta:
+        """Returns the sum of all advances."""
+        return self._elapsed
+
+    def advance(self, step: timedelta) -> None:
+        """Moves both readings forward."""
+        self._now += step
+        self._elapsed += step
+
+
+@final
+@attrs.define
+class PauseDetector:
+    """Detects that the process stood still between two regular ticks."""
+
+    _clock: Clock
+    _threshold: timedelta
+    _last: timedelta = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts the first interval."""
+        self._last = self._clock.elapsed()
+
+    def is_overdue(self) -> bool:
+        """Tells whether the current interval is longer than the threshold."""
+        return self._clock.elapsed() - self._last > self._threshold
+
+    def tick(self) -> bool:
+        """Ends an interval; True when it contained a pause.
+
+        After a pause the detector stays overdue until `reset` is called.
+        """
+        if self.is_overdue():
+            return True
+        self.reset()
+        return False
+
+    def reset(self) -> None:
+        """Starts a new interval, after the view was refreshed."""
+        self._last = self._clock.elapsed()
+
+
+def to_milliseconds(moment: datetime) -> int:
+    """Converts a time of day to milliseconds since 1970."""
+    return round(moment.timestamp() * 1000)
+
+
+def from_milliseconds(milliseconds: int) -> datetime:
+    """Converts milliseconds since 1970 to a time of day in UTC."""
+    return datetime.fromtimestamp(milliseconds / 1000, UTC)
+
+
+def milliseconds(count: float) -> timedelta:
+    """Returns a duration of `count` milliseconds."""
+    return timedelta(milliseconds=count)
--- /dev/null
+++ b/src/masticstage/engines.py
@@ -0,0 +1,188 @@
+"""Reads one answer from one engine, across broken connections.
+
+The reader runs as a task of its own and passes blocks of whole events
+through a bounded channel.  It outlives the caller's connection for a while,
+so that the caller can resume the answer at any instance.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from datetime import timedelta
+from typing import Final, final
+
+import attrs
+import trio
+
+from masticstage.audit import Event
+from masticstage.clock import milliseconds
+from masticstage.configuration_schema import Upstream
+from masticstage.exceptions import (
+    MasticstageError,
+    UpstreamFailedError,
+    UpstreamRefusedError,
+)
+from masticstage.instance import Instance
+from masticstage.requests import Request
+from masticstage.streams import AnswerFramer
+
+#: Blocks held for a slow caller before reading from the engine stops.
+_BUFFERED_BLOCKS: Final = 64
+#: Attempts to reconnect to an engine before the answer is given up there.
+_RECONNECTS: Final = 3
+_RECONNECT_DELAY_S: Final = 0.1
+#: Event by which an engine ends a reader whose stream was resumed elsewhere.
+_SUPERSEDED: Final = b'event: superseded'
+
+
+@attrs.frozen
+class EngineRun:
+    """One generation of an answer at one engine."""
+
+    request: Request
+    upstream: Upstream
+    stream_id: str
+    answer: int
+    resume_after: int | None = None
+
+
+@final
+@attrs.define(eq=False)
+class EngineReader:
+    """Task that reads an engine's events into a channel."""
+
+    _instance: Instance
+    _run: EngineRun
+    _framer: AnswerFramer
+    _send: trio.MemorySendChannel[bytes]
+    _failure: MasticstageError | None = None
+    _superseded: bool = False
+    _abandoned_at: timedelta | None = None
+    _cancelled: bool = False
+
+    @property
+    def failure(self) -> MasticstageError | None:
+        """Why the answer ended early, None when it is whole."""
+        return self._failure
+
+    @property
+    def ended(self) -> bool:
+        """Whether the whole answer was read."""
+        return self._framer.ended
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last whole event read."""
+        return self._framer.last_index
+
+    @property
+    def superseded(self) -> bool:
+        """Whether another instance has taken over the stream."""
+        return self._superseded
+
+    async def read(self) -> None:
+        """Reads until the end mark, a final failure or abandonment."""
+        upstreams = self._instance.views.upstreams
+        upstreams.begin(self._run.upstream.name)
+        started = self._instance.clock.elapsed()
+        with self._send:
+            await self._read_guarded()
+        duration = None
+        if self.ended:
+            duration = self._instance.clock.elapsed() - started
+        upstreams.end(self._run.upstream.name, duration)
+
+    async def _read_guarded(self) -> None:
+        try:
+            await self._read_connections()
+        except MasticstageError as error:
+            self._failure = error
+
+    async def _read_connections(self) -> None:
+        is_new = self._run.resume_after is None
+        reconnects = 0
+        while not self._is_finished():
+            before = self.last_index
+            try:
+                await self._read_connection(is_new=is_new)
+            except UpstreamFailedError:
+                reconnects = 0 if self.last_index > before else reconnects + 1
+                if reconnects >= _RECONNECTS or self._abandoned_at:
+                    raise
+                await trio.sleep(_RECONNECT_DELAY_S)
+            is_new = False
+
+    def _is_finished(self) -> bool:
+        return self.ended or self._superseded or self._cancelled
+
+    async def _read_connection(self, *, is_new: bool) -> None:
+        self._framer.reopen(self.last_index)
+        async with self._open(is_new=is_new) as body:
+            async for chunk in body:
+                await self._pass_on(self._framer.feed(chunk))
+                await self._cancel_if_abandoned()
+                if self._is_finished():
+                    return
+        raise UpstreamFailedError(self._run.upstream.name, 'answer cut off')
+
+    def _open(
+        self,
+        *,
+        is_new: bool,
+    ) -> AbstractAsyncContextManager[AsyncIterator[bytes]]:
+        client = self._instance.connections.upstreams
+        run = self._run
+        if is_new:
+            return client.start_stream(run.upstream, run.request, run.stream_id)
+        return client.resume_stream(
+            run.upstream,
+            run.stream_id,
+            self.last_index,
+        )
+
+    async def _pass_on(self, block: bytes) -> None:
+        if _SUPERSEDED in block:
+            self._superseded = True
+        if not block or self._superseded or self._abandoned_at:
+            return
+        try:
+            await self._send.send(block)
+        except trio.BrokenResourceError:
+            self._abandoned_at = self._instance.clock.elapsed()
+
+    async def _cancel_if_abandoned(self) -> None:
+        """Stops the engine when nobody has resumed the answer in time."""
+        if self._abandoned_at is None or self._is_finished():
+            return
+        waited = self._instance.clock.elapsed() - self._abandoned_at
+        patience = milliseconds(self._instance.settings.timing.abandon_ms)
+        if waited < patience:
+            return
+        self._cancelled = True
+        self._instance.audit.record(
+            Event.CANCELLED,
+            self._run.request.request_id,
+            self._run.upstream.name,
+        )
+        await self._instance.connections.upstreams.cancel_stream(
+            self._run.upstream,
+            self._run.stream_id,
+        )
+
+
+def start_reader(
+    instance: Instance,
+    run: EngineRun,
+) -> tuple[EngineReader, trio.MemoryReceiveChannel[bytes]]:
+    """Starts a reader; returns it with the channel of its blocks."""
+    send, receive = trio.open_memory_channel[bytes](_BUFFERED_BLOCKS)
+    framer = AnswerFramer(run.upstream.name)
+    if run.resume_after is not None:
+        framer.reopen(run.resume_after)
+    reader = EngineReader(instance, run, framer, send)
+    instance.nursery.start_soon(reader.read)
+    return reader, receive
+
+
+def is_refusal(error: MasticstageError | None) -> bool:
+    """Tells whether an engine never saw the request."""
+    return isinstance(error, UpstreamRefusedError)
--- /dev/null
+++ b/src/masticstage/instance_program.py
@@ -0,0 +1,39 @@
+"""The program masticstage-instance: one instance of the system."""
+
+import sys
+from pathlib import Path
+
+import fire
+import trio
+from returns.result import Failure, Success
+
+from masticstage.check_program import print_faults
+from masticstage.composition import run_instance
+from masticstage.exits import Exit
+from masticstage.logs import configure_logs
+from masticstage.settings import load_settings
+
+
+def run(settings: str) -> None:
+    """Runs an instance until SIGTERM or SIGINT has drained it.
+
+    Args:
+        settings: path of the settings file (TOML).
+
+    """
+    match load_settings(Path(settings)):
+        case Success(loaded):
+            configure_logs(loaded.instance.name)
+            trio.run(run_instance, loaded)
+        case Failure(faults):
+            print_faults(faults)
+            sys.exit(Exit.BAD_INPUT)
+
+
+def main() -> None:
+    """Entry point of the program."""
+    fire.Fire(run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/masticstage/metrics.py
@@ -0,0 +1,67 @@
+"""Latency histograms and counters, in the text format of Prometheus."""
+
+from datetime import timedelta
+from typing import Final, final
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    generate_latest,
+)
+from prometheus_client.core import GaugeMetricFamily
+
+_LOWEST_US: Final = 1
+_HIGHEST_US: Final = 600_000_000
+_US_PER_S: Final = 1_000_000
+_DIGITS: Final = 2
+_PERCENTILES: Final = (50.0, 95.0, 99.0, 99.9)
+
+
+@final
+class Metrics:
+    """Measurements of one instance."""
+
+    def __init__(self) -> None:
+        """Creates a registry of its own, so that tests can have several."""
+        self._registry = CollectorRegistry()
+        self._histograms: dict[str, HdrHistogram] = {}
+        self._events = Counter(
+            'masticstage_events',
+            'Events by name.',
+            ['event'],
+            registry=self._registry,
+        )
+        self._registry.register(self)
+
+    def count(self, event: str, amount: int = 1) -> None:
+        """Counts an event."""
+        self._events.labels(event).inc(amount)
+
+    def record(self, name: str, duration: timedelta) -> None:
+        """Adds a duration to a histogram."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+            self._histograms[name] = histogram
+        histogram.record_value(duration // timedelta(microseconds=1))
+
+    def collect(self) -> list[GaugeMetricFamily]:
+        """Returns the percentiles of all histograms, in seconds."""
+        family = GaugeMetricFamily(
+            'masticstage_latency_seconds',
+            'Latency percentiles since the start.',
+            labels=['name', 'percentile'],
+        )
+        for name, histogram in self._histograms.items():
+            for percentile in _PERCENTILES:
+                microseconds = histogram.get_value_at_percentile(percentile)
+                family.add_metric(
+                    [name, str(percentile)],
+                    microseconds / _US_PER_S,
+                )
+        return [family]
+
+    def render(self) -> bytes:
+        """Returns all measurements in the text format."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/src/masticstage/peer_messages.py
@@ -0,0 +1,121 @@
+"""Conversions between peer messages and the types of the decisions."""
+
+from types import MappingProxyType
+from typing import Final
+
+from masticstage import peer_pb2 as pb
+from masticstage.membership import Liveness, Member
+from masticstage.outcomes import Answer, CallOutcome, Outcome
+from masticstage.tickets import Verdict, WitnessAnswer
+from masticstage.tokens import MemberId
+from masticstage.upstream_table import LoadReport
+
+_KINDS: Final = MappingProxyType(
+    {
+        Outcome.NOT_RUN: pb.NOT_RUN,
+        Outcome.UNKNOWN: pb.UNKNOWN,
+        Outcome.RAN: pb.RAN,
+    }
+)
+_OUTCOMES: Final = MappingProxyType(
+    {number: outcome for outcome, number in _KINDS.items()}
+)
+_VERDICTS: Final = MappingProxyType(
+    {
+        Verdict.ACKNOWLEDGED: pb.WitnessReply.ACKNOWLEDGED,
+        Verdict.SEALED: pb.WitnessReply.SEALED,
+        Verdict.HELD: pb.WitnessReply.HELD,
+        Verdict.REFUSED: pb.WitnessReply.REFUSED,
+    }
+)
+_FROM_VERDICTS: Final = MappingProxyType(
+    {number: verdict for verdict, number in _VERDICTS.items()}
+)
+
+
+def encode_member(member: Member) -> pb.MemberRecord:
+    """Returns the message form of a member record."""
+    return pb.MemberRecord(
+        member=pb.Incarnation(
+            name=member.identity.name,
+            number=member.identity.incarnation,
+        ),
+        data_centre=member.data_centre,
+        region=member.region,
+        peer_address=member.peer_address,
+        caller_address=member.caller_address,
+        liveness=pb.Liveness.ValueType(member.liveness.value),
+        heartbeat=member.heartbeat,
+    )
+
+
+def decode_member(record: pb.MemberRecord) -> Member:
+    """Returns the member record of a message."""
+    return Member(
+        MemberId(record.member.name, record.member.number),
+        record.data_centre,
+        record.region,
+        record.peer_address,
+        record.caller_address,
+        Liveness(record.liveness),
+        record.heartbeat,
+    )
+
+
+def encode_report(report: LoadReport) -> pb.UpstreamRecord:
+    """Returns the message form of a load report."""
+    return pb.UpstreamRecord(
+        name=report.upstream,
+        incarnation=report.incarnation,
+        reported_at_ms=report.reported_ms,
+        queued=report.queued,
+        running=report.running,
+        leaving=report.leaving,
+    )
+
+
+def decode_report(record: pb.UpstreamRecord) -> LoadReport:
+    """Returns the load report of a message."""
+    return LoadReport(
+        record.name,
+        record.incarnation,
+        record.reported_at_ms,
+        record.queued,
+        record.running,
+        record.leaving,
+    )
+
+
+def encode_outcome(outcome: CallOutcome) -> pb.Outcome:
+    """Returns the message form of an outcome."""
+    message = pb.Outcome(kind=_KINDS[outcome.outcome])
+    if outcome.answer is not None:
+        message.status = outcome.answer.status
+        message.content_type = outcome.answer.content_type
+        message.body = outcome.answer.body
+    return message
+
+
+def decode_outcome(message: pb.Outcome) -> CallOutcome:
+    """Returns the outcome of a message; status 0 means no answer."""
+    outcome = _OUTCOMES[message.kind]
+    if not message.status:
+        return CallOutcome(outcome)
+    answer = Answer(message.status, message.content_type, message.body)
+    return CallOutcome(outcome, answer)
+
+
+def encode_witness_answer(answer: WitnessAnswer) -> pb.WitnessReply:
+    """Returns the message form of a witness's answer."""
+    return pb.WitnessReply(
+        verdict=_VERDICTS[answer.verdict],
+        outcome=encode_outcome(answer.outcome),
+    )
+
+
+def decode_witness_answer(reply: pb.WitnessReply) -> WitnessAnswer:
+    """Returns the witness's answer of a message."""
+    return WitnessAnswer(
+        _FROM_VERDICTS[reply.verdict],
+        decode_outcome(reply.outcome),
+    )
--- /dev/null
+++ b/src/masticstage/peer_server.py
@@ -0,0 +1,160 @@
+"""Serves the calls of other instances over gRPC."""
+
+from typing import TYPE_CHECKING, Final, final
+
+import grpc
+from trio_asyncio import aio_as_trio
+
+from masticstage import peer_pb2 as pb
+from masticstage.bridge import from_asyncio, from_trio
+from masticstage.exceptions import MasticstageError, NotReadyError
+from masticstage.gossip import (
+    compose_gossip,
+    pull_configuration,
+    take_gossip,
+)
+from masticstage.instance import Instance
+from masticstage.peer_client import MAX_MESSAGE_BYTES
+from masticstage.peer_messages import (
+    decode_outcome,
+    encode_witness_answer,
+)
+from masticstage.peer_pb2_grpc import (
+    PeerServicer,
+    add_PeerServicer_to_server,
+)
+from masticstage.relays import decode_request, write_reply
+from masticstage.results import unwrap_or_raise
+from masticstage.serving import refuse, serve
+from masticstage.tickets import Verdict, WitnessAnswer
+
+if TYPE_CHECKING:
+    _Context = grpc.aio.ServicerContext[object, object]
+
+_MIN_PING_MS: Final = 500
+SERVER_OPTIONS: Final = (
+    ('grpc.http2.min_recv_ping_interval_without_data_ms', _MIN_PING_MS),
+    ('grpc.http2.min_ping_interval_without_data_ms', _MIN_PING_MS),
+    ('grpc.http2.max_ping_strikes', 0),
+    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+    ('grpc.so_reuseport', 0),
+)
+
+
+@final
+class PeerService(PeerServicer):
+    """The methods that other instances call."""
+
+    def __init__(self, instance: Instance) -> None:
+        """Serves in the name of an instance."""
+        self._instance = instance
+
+    async def Exchange(
+        self,
+        request: pb.Gossip,
+        context: '_Context',
+    ) -> pb.Gossip:
+        """Takes another instance's view and returns the own one."""
+        take_gossip(self._instance, request)
+        members = self._instance.views.members
+        return compose_gossip(
+            self._instance,
+            members.find(request.sender.name),
+            is_full=request.is_joining,
+        )
+
+    async def FetchConfiguration(
+        self,
+        request: pb.ConfigurationRequest,
+        context: '_Context',
+    ) -> pb.ConfigurationReply:
+        """Returns the configuration in force when it is newer."""
+        catalogue = self._instance.views.rollout.catalogue
+        if catalogue is None or catalogue.version <= request.above_version:
+            return pb.ConfigurationReply()
+        return pb.ConfigurationReply(
+            version=catalogue.version,
+            value_json=catalogue.encoded,
+        )
+
+    async def Intend(
+        self,
+        request: pb.WitnessRequest,
+        context: '_Context',
+    ) -> pb.WitnessReply:
+        """Records the intent of a ticket's owner, as its witness."""
+        signer = self._instance.signer
+        ticket = unwrap_or_raise(signer.verify_ticket(request.ticket))
+        verdict = self._instance.books.witness.intend(ticket)
+        return encode_witness_answer(WitnessAnswer(verdict))
+
+    async def Ask(
+        self,
+        request: pb.WitnessRequest,
+        context: '_Context',
+    ) -> pb.WitnessReply:
+        """Tells what this witness holds of a ticket, or seals it."""
+        signer = self._instance.signer
+        ticket = unwrap_or_raise(signer.verify_ticket(request.ticket))
+        return encode_witness_answer(self._instance.books.witness.ask(ticket))
+
+    async def CopyOutcome(
+        self,
+        request: pb.WitnessRequest,
+        context: '_Context',
+    ) -> pb.WitnessReply:
+        """Keeps the outcome of a ticket, as its witness."""
+        signer = self._instance.signer
+        ticket = unwrap_or_raise(signer.verify_ticket(request.ticket))
+        verdict: Verdict = self._instance.books.witness.copy_outcome(
+            ticket,
+            decode_outcome(request.outcome),
+        )
+        return encode_witness_answer(WitnessAnswer(verdict))
+
+    async def Relay(  # type: ignore[override]
+        self,
+        request: pb.RelayRequest,
+        context: '_Context',
+    ) -> None:
+        """Serves a request that another instance has forwarded."""
+        await from_asyncio(lambda: self._relay(request, context))
+
+    async def _relay(
+        self,
+        message: pb.RelayRequest,
+        context: '_Context',
+    ) -> None:
+        try:
+            await self._catch_up(message)
+            request = decode_request(self._instance, message)
+        except MasticstageError as error:
+            reply = refuse(self._instance, error, message.request_id)
+        else:
+            reply = await serve(self._instance, request)
+        await write_reply(reply, aio_as_trio(context.write))
+
+    async def _catch_up(self, message: pb.RelayRequest) -> None:
+        """Fetches the configuration under which a request was accepted."""
+        if message.configuration_version <= self._instance.version:
+            return
+        for member in self._instance.views.members.others():
+            if member.data_centre == message.path[-1]:
+                await pull_configuration(self._instance, member)
+                break
+        if message.configuration_version > self._instance.version:
+            raise NotReadyError
+
+
+async def start_peer_server(instance: Instance) -> grpc.aio.Server:
+    """Starts serving other instances at the address in the settings."""
+    server = grpc.aio.server(options=SERVER_OPTIONS)
+    add_PeerServicer_to_server(PeerService(instance), server)
+    server.add_insecure_port(instance.settings.instance.peer_address)
+    await from_trio(server.start)
+    return server
+
+
+async def stop_peer_server(server: grpc.aio.Server, grace_s: float) -> None:
+    """Stops accepting calls and ends the open ones after a grace period."""
+    await from_trio(lambda: server.stop(grace_s))
--- /dev/null
+++ b/src/masticstage/placement.py
@@ -0,0 +1,146 @@
+"""Where a request is served: an upstream here, or another data centre."""
+
+import attrs
+import xxhash
+
+from masticstage.configuration import Catalogue
+from masticstage.configuration_schema import Upstream
+from masticstage.exceptions import (
+    NoUpstreamError,
+    ResidencyError,
+    TransferLimitError,
+)
+from masticstage.instance import Instance
+from masticstage.membership import Member
+from masticstage.requests import Request
+from masticstage.residency import (
+    allowed_data_centres,
+    allowed_regions,
+    may_transfer,
+)
+from masticstage.routing import (
+    Choice,
+    Demand,
+    RemotePlace,
+    Transfer,
+    choose_transfer,
+)
+
+_BITS_PER_MEGABIT = 1_000_000
+_BITS_PER_BYTE = 8
+_MS_PER_S = 1000
+
+
+@attrs.frozen
+class Placement:
+    """A local choice, and a better place elsewhere if there is one."""
+
+    local: Choice | None
+    transfer: Transfer | None
+
+
+def place(instance: Instance, request: Request, demand: Demand) -> Placement:
+    """Chooses where to serve a request under the configuration in force."""
+    catalogue = instance.catalogue()
+    allowed = allowed_data_centres(catalogue, request.team, request.kind)
+    local = None
+    if instance.data_centre in allowed:
+        local = _choose_local(instance, catalogue, demand)
+    remote = _choose_remote(instance, request, demand, allowed)
+    if local is None and remote is None:
+        _refuse(instance, request, allowed)
+    if local is None or remote is None or remote.score < local.score:
+        return Placement(local, remote)
+    return Placement(local, None)
+
+
+def demand_of(request: Request, prefix: str) -> Demand:
+    """Returns what a request asks of an upstream."""
+    encoded = prefix.encode()
+    return Demand(
+        request.service,
+        xxhash.xxh3_64_intdigest(encoded) if encoded else 0,
+        len(encoded),
+        len(request.body),
+    )
+
+
+def pick_member(instance: Instance, data_centre: str) -> Member | None:
+    """Returns a random live instance of a data centre."""
+    members = instance.views.members.live_in(data_centre)
+    return instance.random.choice(members) if members else None
+
+
+def may_serve_here(
+    instance: Instance,
+    request: Request,
+    upstream: Upstream,
+) -> bool:
+    """Repeats the checks of residency and leaving just before a dispatch."""
+    catalogue = instance.catalogue()
+    allowed = allowed_data_centres(catalogue, request.team, request.kind)
+    if upstream.data_centre not in allowed:
+        return False
+    if upstream.data_centre != instance.data_centre:
+        return False
+    if catalogue.upstreams.get(upstream.name) != upstream:
+        return False
+    return not instance.views.upstreams.is_leaving(upstream.name)
+
+
+def _choose_local(
+    instance: Instance,
+    catalogue: Catalogue,
+    demand: Demand,
+) -> Choice | None:
+    place_key = (instance.data_centre, demand.service)
+    upstreams = catalogue.local_upstreams.get(place_key, ())
+    weights = catalogue.configuration.weights
+    return instance.views.router.choose(upstreams, demand, weights)
+
+
+def _choose_remote(
+    instance: Instance,
+    request: Request,
+    demand: Demand,
+    allowed: frozenset[str],
+) -> Transfer | None:
+    catalogue = instance.catalogue()
+    places = tuple(
+        _remote_place(instance, catalogue, summary.data_centre, summary.wait_ms)
+        for summary in instance.views.summaries.fresh(demand.service)
+        if summary.data_centre in allowed
+        and may_transfer(request.path, summary.data_centre)
+        and instance.views.members.live_in(summary.data_centre)
+        and summary.data_centre != instance.data_centre
+    )
+    return choose_transfer(places, demand, catalogue.configuration.weights)
+
+
+def _remote_place(
+    instance: Instance,
+    catalogue: Catalogue,
+    data_centre: str,
+    wait_ms: int,
+) -> RemotePlace:
+    region = catalogue.region_of[data_centre]
+    is_near = region.name == instance.settings.instance.region
+    return RemotePlace(
+        data_centre,
+        wait_ms / _MS_PER_S,
+        0 if is_near else region.link_ms / _MS_PER_S,
+        region.link_mbps * _BITS_PER_MEGABIT / _BITS_PER_BYTE,
+    )
+
+
+def _refuse(
+    instance: Instance,
+    request: Request,
+    allowed: frozenset[str],
+) -> None:
+    if instance.data_centre in allowed:
+        raise NoUpstreamError(request.service)
+    if request.is_forwarded:
+        raise TransferLimitError(request.path)
+    regions = allowed_regions(request.team, request.kind)
+    raise ResidencyError(tuple(sorted(regions)))
--- /dev/null
+++ b/src/masticstage/requests.py
@@ -0,0 +1,63 @@
+"""A caller's request and its reply, independent of how they arrived."""
+
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from typing import Final
+
+import attrs
+
+from masticstage.configuration_schema import Kind, Team
+from masticstage.tokens import Session
+
+JSON_TYPE: Final = 'application/json'
+PROBLEM_TYPE: Final = 'application/problem+json'
+EVENT_STREAM_TYPE: Final = 'text/event-stream'
+#: Target under which an entry instance asks another one for a ticket.
+TICKET_TARGET: Final = '/v1/tickets'
+#: Header that names the kind of a model request.
+KIND_HEADER: Final = 'Masticstage-Kind'
+#: Header by which a caller resumes a model answer.
+SESSION_HEADER: Final = 'Masticstage-Session'
+TICKET_HEADER: Final = 'Idempotency-Key'
+REQUEST_ID_HEADER: Final = 'X-Request-Id'
+
+
+@attrs.frozen
+class Request:
+    """A checked request of an authenticated caller.
+
+    `path` names the data centres that have forwarded it.  `deadline` is on
+    the elapsed-time clock of this instance.
+    """
+
+    request_id: str
+    team: Team
+    service: str
+    kind: Kind
+    method: str
+    target: str
+    body: bytes
+    deadline: timedelta
+    content_type: str = JSON_TYPE
+    path: tuple[str, ...] = ()
+    ticket: str = ''
+    session: Session | None = None
+    session_token: str = ''
+    last_index: int = -1
+    configuration_version: int = 0
+
+    @property
+    def is_forwarded(self) -> bool:
+        """Whether another instance sent it here."""
+        return bool(self.path)
+
+
+@attrs.frozen
+class Reply:
+    """Status, headers and the body, whole or as a stream of chunks."""
+
+    status: int
+    content_type: str
+    body: bytes = b''
+    chunks: AsyncIterator[bytes] | None = None
+    headers: tuple[tuple[str, str], ...] = ()
--- /dev/null
+++ b/src/masticstage/serving.py
@@ -0,0 +1,83 @@
+"""Serves one checked request, whichever way it arrived."""
+
+from masticstage.audit import Event
+from masticstage.calls import issue_ticket, run_idempotent, run_ticket
+from masticstage.exceptions import (
+    MasticstageError,
+    RejectedError,
+    SealedError,
+    TicketUndecidedError,
+)
+from masticstage.instance import Instance
+from masticstage.models import answer_model
+from masticstage.problems import problem_reply
+from masticstage.requests import TICKET_TARGET, Reply, Request
+
+
+async def serve(instance: Instance, request: Request) -> Reply:
+    """Returns the reply to a request; failures become problem replies."""
+    started = instance.clock.elapsed()
+    try:
+        reply = await _serve(instance, request)
+    except MasticstageError as error:
+        return refuse(instance, error, request.request_id)
+    finally:
+        instance.metrics.record(
+            f'{request.service}.{request.kind.name}.reply',
+            instance.clock.elapsed() - started,
+        )
+    return reply
+
+
+def refuse(
+    instance: Instance,
+    error: MasticstageError,
+    request_id: str,
+) -> Reply:
+    """Returns the problem reply to a failure and records it."""
+    instance.audit.record(Event.REFUSED, request_id, str(error))
+    instance.metrics.count(f'refused_{error.code}')
+    return problem_reply(error, request_id, instance.version)
+
+
+async def _serve(instance: Instance, request: Request) -> Reply:
+    if request.ticket:
+        return await _serve_ticket(instance, request)
+    service = instance.check_accepting().services[request.service]
+    if service.type == 'model':
+        return await answer_model(instance, request)
+    return await _serve_call(instance, request)
+
+
+async def _serve_ticket(instance: Instance, request: Request) -> Reply:
+    """Serves a ticketed call, for which only a seal proves `not_run`."""
+    try:
+        return await run_ticket(instance, request)
+    except SealedError:
+        raise
+    except RejectedError as error:
+        raise TicketUndecidedError(str(error)) from error
+
+
+async def _serve_call(instance: Instance, request: Request) -> Reply:
+    limits = instance.books.calls
+    refusal = limits.refusal(
+        instance.catalogue(),
+        request.team,
+        is_congested=False,
+    )
+    if refusal is not None:
+        raise refusal
+    limits.open(request.team.name)
+    try:
+        return await _run_call(instance, request)
+    finally:
+        limits.close(request.team.name)
+
+
+async def _run_call(instance: Instance, request: Request) -> Reply:
+    if request.target == TICKET_TARGET:
+        return await issue_ticket(instance, request)
+    if request.kind.idempotent:
+        return await run_idempotent(instance, request)
+    return await run_ticket(instance, request)
--- /dev/null
+++ b/src/masticstage/status_program.py
@@ -0,0 +1,47 @@
+"""The program masticstage-status: what instances believe."""
+
+import json
+import sys
+from typing import Any, Final
+
+import fire
+import httpx
+
+from masticstage.exits import Exit
+
+_TIMEOUT_S: Final = 3.0
+
+
+def show(*addresses: str, about: str = '') -> None:
+    """Prints the views of instances, one JSON object a line.
+
+    Args:
+        addresses: caller addresses of instances (http://host:port).
+        about: a request id, ticket id, upstream, member or version; only
+            its entries of the audit trail are shown.
+
+    """
+    answers = [_read(address, about) for address in addresses]
+    for answer in answers:
+        sys.stdout.write(f'{json.dumps(answer)}\n')
+    if not addresses or any('error' in answer for answer in answers):
+        sys.exit(Exit.FAILED)
+
+
+def _read(address: str, about: str) -> dict[str, Any]:
+    try:
+        response = httpx.get(
+            f'{address}/v1/status',
+            params={'about': about},
+            timeout=_TIMEOUT_S,
+            trust_env=False,
+        )
+        described: dict[str, Any] = response.json()
+    except (httpx.HTTPError, ValueError) as error:
+        return {'address': address, 'error': type(error).__name__}
+    return described
+
+
+def main() -> None:
+    """Entry point of the program."""
+    fire.Fire(show)
--- /dev/null
+++ b/src/masticstage/tickets.py
@@ -0,0 +1,223 @@
+"""At-most-once execution: what owner and witness of a ticket may do.
+
+Pure decisions.  A ticket names one owner incarnation and one witness
+incarnation.  The owner dispatches a call only after the witness has
+acknowledged its intent.  The witness seals a ticket for which it holds no
+intent when somebody asks after it, and never acknowledges it afterwards.
+Hence a sealed ticket did not run, whatever became of its owner.
+"""
+
+import enum
+from datetime import datetime, timedelta
+from typing import Final
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from masticstage.clock import Clock, from_milliseconds
+from masticstage.exceptions import CapacityError
+from masticstage.outcomes import NOT_RUN, UNKNOWN, CallOutcome
+from masticstage.tokens import MemberId, Ticket
+
+#: Largest difference between the clocks of two instances that is allowed for.
+CLOCK_SKEW: Final = timedelta(minutes=1)
+
+
+@enum.unique
+class Step(enum.Enum):
+    """State of a ticket at its owner."""
+
+    ISSUED = 'issued'
+    INTENDED = 'intended'
+    DISPATCHED = 'dispatched'
+    SETTLED = 'settled'
+
+
+@enum.unique
+class Verdict(enum.Enum):
+    """Answer of a witness."""
+
+    ACKNOWLEDGED = 'acknowledged'
+    SEALED = 'sealed'
+    HELD = 'held'
+    REFUSED = 'refused'
+
+
+@attrs.frozen
+class WitnessAnswer:
+    """Verdict of a witness, with the outcome that it holds."""
+
+    verdict: Verdict
+    outcome: CallOutcome = UNKNOWN
+
+
+@attrs.define
+class _OwnerEntry:
+    """What the owner remembers of one ticket."""
+
+    expires_at: datetime
+    step: Step = Step.ISSUED
+    outcome: CallOutcome = UNKNOWN
+
+
+@attrs.define
+class _WitnessEntry:
+    """What the witness remembers of one ticket."""
+
+    expires_at: datetime
+    sealed: bool
+    outcome: CallOutcome = UNKNOWN
+
+
+@attrs.define
+class OwnerBook:
+    """Tickets that this incarnation has issued and not yet discarded."""
+
+    _clock: Clock
+    _capacity: int
+    _entries: dict[str, _OwnerEntry] = attrs.field(factory=dict)
+
+    def __len__(self) -> int:
+        """Returns the number of tickets held."""
+        return len(self._entries)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of calls that were started and have no outcome yet."""
+        return sum(
+            entry.step in {Step.INTENDED, Step.DISPATCHED}
+            for entry in self._entries.values()
+        )
+
+    def issue(self, ticket: Ticket) -> Result[Ticket, CapacityError]:
+        """Reserves room for a new ticket; fails when the book is full."""
+        if len(self._entries) >= self._capacity:
+            return Failure(CapacityError('tickets'))
+        expires_at = from_milliseconds(ticket.expires_ms)
+        self._entries[ticket.ticket_id] = _OwnerEntry(expires_at)
+        return Success(ticket)
+
+    def step(self, ticket_id: str) -> Step | None:
+        """Returns the state of a ticket, None when it is not held."""
+        entry = self._entries.get(ticket_id)
+        return entry.step if entry else None
+
+    def outcome(self, ticket_id: str) -> CallOutcome:
+        """Returns the outcome of a ticket, unknown when it has none."""
+        entry = self._entries.get(ticket_id)
+        return entry.outcome if entry else UNKNOWN
+
+    def begin(self, ticket_id: str) -> bool:
+        """Moves an issued, unexpired ticket to `INTENDED`, once."""
+        entry = self._entries.get(ticket_id)
+        if entry is None or entry.step is not Step.ISSUED:
+            return False
+        if entry.expires_at <= self._clock.now():
+            self.settle(ticket_id, NOT_RUN)
+            return False
+        entry.step = Step.INTENDED
+        return True
+
+    def authorize(self, ticket_id: str, verdict: Verdict) -> bool:
+        """Applies the verdict on the intent; True allows one dispatch."""
+        entry = self._entries.get(ticket_id)
+        if entry is None or entry.step is not Step.INTENDED:
+            return False
+        if verdict is not Verdict.ACKNOWLEDGED:
+            self.settle(ticket_id, NOT_RUN)
+            return False
+        entry.step = Step.DISPATCHED
+        return True
+
+    def settle(self, ticket_id: str, outcome: CallOutcome) -> None:
+        """Records the first outcome of a ticket; later ones are ignored."""
+        entry = self._entries.get(ticket_id)
+        if entry is None or entry.step is Step.SETTLED:
+            return
+        entry.step = Step.SETTLED
+        entry.outcome = outcome
+
+    def discard_expired(self) -> int:
+        """Forgets tickets past expiry and clock skew; returns their count."""
+        return _discard_expired(self._entries, self._clock.now())
+
+
+@attrs.define
+class WitnessBook:
+    """Intents, seals and outcomes held for other owners' tickets."""
+
+    _clock: Clock
+    _identity: MemberId
+    _capacity: int
+    _entries: dict[str, _WitnessEntry] = attrs.field(factory=dict)
+
+    def __len__(self) -> int:
+        """Returns the number of tickets held."""
+        return len(self._entries)
+
+    def intend(self, ticket: Ticket) -> Verdict:
+        """Decides whether the owner may dispatch the call."""
+        if ticket.witness != self._identity:
+            return Verdict.REFUSED
+        entry = self._entries.get(ticket.ticket_id)
+        if entry is not None:
+            return Verdict.SEALED if entry.sealed else Verdict.ACKNOWLEDGED
+        if not self._has_room_for(ticket):
+            return Verdict.REFUSED
+        self._hold(ticket, sealed=False)
+        return Verdict.ACKNOWLEDGED
+
+    def ask(self, ticket: Ticket) -> WitnessAnswer:
+        """Seals a ticket without intent, or tells what is held of it."""
+        if ticket.witness != self._identity:
+            return WitnessAnswer(Verdict.REFUSED)
+        entry = self._entries.get(ticket.ticket_id)
+        if entry is not None:
+            return _held_answer(entry)
+        if not self._has_room_for(ticket):
+            return WitnessAnswer(Verdict.REFUSED)
+        self._hold(ticket, sealed=True)
+        return WitnessAnswer(Verdict.SEALED, NOT_RUN)
+
+    def copy_outcome(self, ticket: Ticket, outcome: CallOutcome) -> Verdict:
+        """Keeps the outcome that the owner reports."""
+        entry = self._entries.get(ticket.ticket_id)
+        if entry is None or ticket.witness != self._identity:
+            return Verdict.REFUSED
+        if not entry.sealed:
+            entry.outcome = outcome
+        return Verdict.HELD
+
+    def discard_expired(self) -> int:
+        """Forgets tickets past expiry and clock skew; returns their count."""
+        return _discard_expired(self._entries, self._clock.now())
+
+    def _has_room_for(self, ticket: Ticket) -> bool:
+        expires_at = from_milliseconds(ticket.expires_ms)
+        if expires_at + CLOCK_SKEW <= self._clock.now():
+            return False
+        return len(self._entries) < self._capacity
+
+    def _hold(self, ticket: Ticket, *, sealed: bool) -> None:
+        expires_at = from_milliseconds(ticket.expires_ms)
+        self._entries[ticket.ticket_id] = _WitnessEntry(expires_at, sealed)
+
+
+def _held_answer(entry: _WitnessEntry) -> WitnessAnswer:
+    if entry.sealed:
+        return WitnessAnswer(Verdict.SEALED, NOT_RUN)
+    return WitnessAnswer(Verdict.HELD, entry.outcome)
+
+
+def _discard_expired(
+    entries: dict[str, _OwnerEntry] | dict[str, _WitnessEntry],
+    now: datetime,
+) -> int:
+    expired = [
+        ticket_id
+        for ticket_id, entry in entries.items()
+        if entry.expires_at + 2 * CLOCK_SKEW < now
+    ]
+    for ticket_id in expired:
+        entries.pop(ticket_id)
+    return len(expired)
--- /dev/null
+++ b/src/masticstage/tokens.py
@@ -0,0 +1,114 @@
+"""Signed tokens: tickets for calls and sessions for model answers.
+
+Signatures come from itsdangerous (HMAC-SHA-256).  Several secrets are
+accepted at once, the newest signs, so that secrets can be rotated.
+"""
+
+import hashlib
+from typing import Final, TypeVar, final
+
+import attrs
+import cattrs
+from itsdangerous import BadData, URLSafeSerializer
+from returns.result import Failure, Result, Success
+
+from masticstage.exceptions import InvalidTokenError
+
+_TICKET_SALT: Final = 'masticstage.ticket.1'
+_SESSION_SALT: Final = 'masticstage.session.1'
+_TokenType = TypeVar('_TokenType')
+
+
+@attrs.frozen
+class MemberId:
+    """One life of an instance, between a start and the next."""
+
+    name: str
+    incarnation: int
+
+
+@attrs.frozen
+class Ticket:
+    """Right to run one call once, at one owner.
+
+    `expires_ms` is in milliseconds since 1970.  `witness` is None when the
+    data centre had a single live instance at the time of issue.
+    """
+
+    ticket_id: str
+    owner: MemberId
+    witness: MemberId | None
+    data_centre: str
+    region: str
+    team: str
+    service: str
+    expires_ms: int
+    configuration_version: int
+
+
+@attrs.frozen
+class Session:
+    """Where a model answer is generated, so that any instance resumes it."""
+
+    stream_id: str
+    upstream: str
+    data_centre: str
+    team: str
+    service: str
+    kind: str
+    answer: int
+
+
+@final
+class TokenSigner:
+    """Signs and verifies tokens with a list of secrets, oldest first."""
+
+    def __init__(self, secrets: tuple[str, ...]) -> None:
+        """Prepares one serializer for each kind of token."""
+        self._tickets = _serializer(secrets, _TICKET_SALT)
+        self._sessions = _serializer(secrets, _SESSION_SALT)
+
+    def sign_ticket(self, ticket: Ticket) -> str:
+        """Returns the text form of a ticket."""
+        return _sign(self._tickets, ticket)
+
+    def sign_session(self, session: Session) -> str:
+        """Returns the text form of a session."""
+        return _sign(self._sessions, session)
+
+    def verify_ticket(self, token: str) -> Result[Ticket, InvalidTokenError]:
+        """Checks the signature of a ticket and decodes it."""
+        return _verify(self._tickets, token, Ticket)
+
+    def verify_session(self, token: str) -> Result[Session, InvalidTokenError]:
+        """Checks the signature of a session and decodes it."""
+        return _verify(self._sessions, token, Session)
+
+
+def _serializer(secrets: tuple[str, ...], salt: str) -> URLSafeSerializer:
+    return URLSafeSerializer(
+        list(secrets),
+        salt=salt,
+        signer_kwargs={'digest_method': hashlib.sha256},
+    )
+
+
+def _sign(serializer: URLSafeSerializer, token: object) -> str:
+    signed = serializer.dumps(cattrs.unstructure(token))
+    return signed if isinstance(signed, str) else signed.decode()
+
+
+def _verify(
+    serializer: URLSafeSerializer,
+    token: str,
+    token_type: type[_TokenType],
+) -> Result[_TokenType, InvalidTokenError]:
+    expected = token_type.__name__.lower()
+    try:
+        fields = serializer.loads(token)
+    except BadData:
+        return Failure(InvalidTokenError(expected))
+    try:
+        return Success(cattrs.structure(fields, token_type))
+    except (cattrs.BaseValidationError, KeyError, TypeError, ValueError):
+        return Failure(InvalidTokenError(expected))
--- /dev/null
+++ b/src/masticstage/upstream_client.py
@@ -0,0 +1,181 @@
+"""Calls to model engines and applications over HTTP."""
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from datetime import timedelta
+from typing import Final, final
+
+import httpx
+
+from masticstage.configuration_schema import Upstream
+from masticstage.exceptions import (
+    UpstreamFailedError,
+    UpstreamRefusedError,
+)
+from masticstage.outcomes import Answer
+from masticstage.requests import JSON_TYPE, Request
+from masticstage.upstream_table import LoadReport
+
+_CONNECT_TIMEOUT_S: Final = 1.0
+_LOAD_TIMEOUT_S: Final = 1.0
+#: Failures before the first byte of a request was written.
+_NOT_SENT: Final = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+)
+
+
+@final
+class UpstreamClient:
+    """HTTP connections to the upstreams of this data centre.
+
+    Calls that are not idempotent never reuse a connection, since a kept one
+    may be closed by its upstream while the request is being written.
+    """
+
+    def __init__(self, silence: timedelta) -> None:
+        """Creates the connection pools; `silence` bounds every read."""
+        timeout = httpx.Timeout(
+            silence.total_seconds(),
+            connect=_CONNECT_TIMEOUT_S,
+        )
+        self._client = httpx.AsyncClient(
+            timeout=timeout,
+            limits=httpx.Limits(
+                max_connections=None,
+                max_keepalive_connections=None,
+            ),
+            trust_env=False,
+        )
+        self._single_use = httpx.AsyncClient(
+            timeout=timeout,
+            limits=httpx.Limits(
+                max_connections=None,
+                max_keepalive_connections=0,
+            ),
+            trust_env=False,
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._client.aclose()
+        await self._single_use.aclose()
+
+    async def call(
+        self,
+        upstream: Upstream,
+        request: Request,
+        timeout: timedelta,
+        headers: Mapping[str, str],
+    ) -> Answer:
+        """Sends one application call and returns its whole answer."""
+        client = self._client if request.kind.idempotent else self._single_use
+        try:
+            response = await client.request(
+                request.method,
+                f'{upstream.address}{request.target}',
+                content=request.body,
+                headers={'Content-Type': request.content_type, **headers},
+                timeout=httpx.Timeout(
+                    timeout.total_seconds(),
+                    connect=_CONNECT_TIMEOUT_S,
+                ),
+            )
+        except _NOT_SENT as error:
+            raise UpstreamRefusedError(upstream.name) from error
+        except httpx.HTTPError as error:
+            raise _failed(upstream, error) from error
+        return Answer(
+            response.status_code,
+            response.headers.get('Content-Type', JSON_TYPE),
+            response.content,
+        )
+
+    @asynccontextmanager
+    async def start_stream(
+        self,
+        upstream: Upstream,
+        request: Request,
+        stream_id: str,
+    ) -> AsyncIterator[AsyncIterator[bytes]]:
+        """Starts a model answer; the body yields its events' bytes."""
+        headers = {
+            'Content-Type': JSON_TYPE,
+            'X-Request-Id': stream_id,
+            'X-Priority': str(request.kind.priority),
+        }
+        opened = self._client.stream(
+            'POST',
+            f'{upstream.address}/v1/chat/completions',
+            content=request.body,
+            headers=headers,
+        )
+        async with _opened_stream(upstream, opened) as body:
+            yield body
+
+    @asynccontextmanager
+    async def resume_stream(
+        self,
+        upstream: Upstream,
+        stream_id: str,
+        after: int,
+    ) -> AsyncIterator[AsyncIterator[bytes]]:
+        """Continues a model answer after the event with index `after`."""
+        opened = self._client.stream(
+            'GET',
+            f'{upstream.address}/v1/streams/{stream_id}',
+            params={'after': after},
+        )
+        async with _opened_stream(upstream, opened) as body:
+            yield body
+
+    async def cancel_stream(self, upstream: Upstream, stream_id: str) -> None:
+        """Tells an engine to stop generating an answer."""
+        try:
+            await self._client.delete(
+                f'{upstream.address}/v1/streams/{stream_id}',
+            )
+        except httpx.HTTPError as error:
+            raise _failed(upstream, error) from error
+
+    async def read_load(self, upstream: Upstream) -> LoadReport:
+        """Reads the load that an upstream reports."""
+        try:
+            response = await self._client.get(
+                f'{upstream.address}/load',
+                timeout=_LOAD_TIMEOUT_S,
+            )
+            fields = response.json()
+            return LoadReport(
+                upstream.name,
+                int(fields['incarnation']),
+                int(fields['reported_ms']),
+                int(fields['queued']),
+                int(fields['running']),
+            )
+        except (httpx.HTTPError, KeyError, TypeError, ValueError) as error:
+            raise _failed(upstream, error) from error
+
+
+@asynccontextmanager
+async def _opened_stream(
+    upstream: Upstream,
+    opened: AbstractAsyncContextManager[httpx.Response],
+) -> AsyncIterator[AsyncIterator[bytes]]:
+    try:
+        async with opened as response:
+            if response.status_code != httpx.codes.OK:
+                raise UpstreamFailedError(
+                    upstream.name,
+                    f'status {response.status_code}',
+                )
+            yield response.aiter_raw()
+    except _NOT_SENT as error:
+        raise UpstreamRefusedError(upstream.name) from error
+    except httpx.HTTPError as error:
+        raise _failed(upstream, error) from error
+
+
+def _failed(upstream: Upstream, error: Exception) -> UpstreamFailedError:
+    return UpstreamFailedError(upstream.name, type(error).__name__)
--- /dev/null
+++ b/src/masticstage/upstream_table.py
@@ -0,0 +1,149 @@
+"""What is known of each upstream: reported load, leaving, own dispatches.
+
+Reports lag, so requests sent since the last report are added to it.  Of two
+words about an upstream, the one with the higher incarnation counts; leaving
+is kept for the rest of an incarnation.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Final, final
+
+import attrs
+
+from masticstage.clock import Clock
+
+#: Reports older than this say nothing about the load any more.
+STALE_AFTER: Final = timedelta(seconds=5)
+#: Time for which a failed upstream is avoided.
+AVOID_FOR: Final = timedelta(seconds=2)
+#: Weight of the newest service time in the running mean.
+_SMOOTHING: Final = 0.1
+
+
+@attrs.frozen
+class LoadReport:
+    """Load that an upstream reported about itself.
+
+    `reported_ms` is in milliseconds since 1970 on the upstream's clock.
+    """
+
+    upstream: str
+    incarnation: int
+    reported_ms: int
+    queued: int
+    running: int
+    leaving: bool = False
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Sort key: the greater report is the newer one."""
+        return (self.incarnation, self.reported_ms)
+
+
+@attrs.define
+class UpstreamState:
+    """Knowledge of one upstream."""
+
+    report: LoadReport
+    received_at: timedelta
+    leaving_incarnation: int = -1
+    avoid_until: timedelta = timedelta()
+    in_flight: int = 0
+    service_s: float = 1.0
+    dispatched_at: deque[timedelta] = attrs.field(factory=deque)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the present incarnation was said to be leaving."""
+        return self.leaving_incarnation >= self.report.incarnation
+
+
+@final
+@attrs.define
+class UpstreamTable:
+    """States of the upstreams of one data centre."""
+
+    _clock: Clock
+    _states: dict[str, UpstreamState] = attrs.field(factory=dict)
+
+    def state(self, name: str) -> UpstreamState:
+        """Returns the state of an upstream, a blank one when unknown."""
+        state = self._states.get(name)
+        if state is None:
+            state = UpstreamState(LoadReport(name, 0, 0, 0, 0), timedelta())
+            self._states[name] = state
+        return state
+
+    def report(self, name: str) -> LoadReport:
+        """Returns the newest report of an upstream, marked when leaving."""
+        state = self.state(name)
+        return attrs.evolve(state.report, leaving=state.is_leaving)
+
+    def expected_wait_s(self, name: str, slots: int) -> float:
+        """Returns how long new work would wait at an upstream, in seconds."""
+        return self.state(name).service_s * self.backlog(name) / slots
+
+    def merge(self, reports: Iterable[LoadReport]) -> tuple[str, ...]:
+        """Takes in reports; returns the upstreams that began to leave."""
+        return tuple(
+            report.upstream for report in reports if self._merge_one(report)
+        )
+
+    def is_usable(self, name: str) -> bool:
+        """Tells whether new work may be sent to an upstream."""
+        state = self.state(name)
+        if state.is_leaving:
+            return False
+        return state.avoid_until <= self._clock.elapsed()
+
+    def is_leaving(self, name: str) -> bool:
+        """Tells whether an upstream must receive no new work."""
+        return self.state(name).is_leaving
+
+    def backlog(self, name: str) -> int:
+        """Returns the requests that are believed to be at an upstream."""
+        state = self.state(name)
+        now = self._clock.elapsed()
+        if now - state.received_at > STALE_AFTER:
+            return state.in_flight
+        reported = state.report.queued + state.report.running
+        recent = sum(
+            moment > state.received_at for moment in state.dispatched_at
+        )
+        return max(reported + recent, state.in_flight)
+
+    def begin(self, name: str) -> None:
+        """Notes a request sent to an upstream."""
+        state = self.state(name)
+        state.in_flight += 1
+        state.dispatched_at.append(self._clock.elapsed())
+        while state.dispatched_at[0] <= state.received_at:
+            state.dispatched_at.popleft()
+
+    def end(self, name: str, duration: timedelta | None) -> None:
+        """Notes the end of a request; None when it did not complete."""
+        state = self.state(name)
+        state.in_flight -= 1
+        if duration is not None:
+            change = duration.total_seconds() - state.service_s
+            state.service_s += _SMOOTHING * change
+
+    def avoid(self, name: str) -> None:
+        """Stops using an upstream for a while after a failure."""
+        state = self.state(name)
+        state.avoid_until = self._clock.elapsed() + AVOID_FOR
+
+    def _merge_one(self, report: LoadReport) -> bool:
+        state = self.state(report.upstream)
+        was_leaving = state.is_leaving
+        if report.order > state.report.order:
+            state.report = report
+            state.received_at = self._clock.elapsed()
+        if report.leaving:
+            state.leaving_incarnation = max(
+                state.leaving_incarnation,
+                report.incarnation,
+            )
+        return state.is_leaving and not was_leaving
--- /dev/null
+++ b/src/masticstage/watches.py
@@ -0,0 +1,152 @@
+"""Regular reading of the platform and of the loads of upstreams.
+
+Only a few instances of a data centre, chosen by rendezvous hashing over its
+live members, read the platform; the others hear from them by gossip.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+import trio
+import xxhash
+
+from masticstage.audit import Event
+from masticstage.clock import milliseconds
+from masticstage.configuration_schema import Upstream
+from masticstage.exceptions import (
+    PlatformUnavailableError,
+    UpstreamFailedError,
+)
+from masticstage.gossip import exchange_with, offer_configuration
+from masticstage.instance import Instance
+
+#: Instances of a data centre that read the platform.
+READERS: Final = 2
+_RETRY_S: Final = 1.0
+_PAUSE_CHECK_S: Final = 0.1
+_REFRESH_TIMEOUT_S: Final = 1.0
+#: Failed load readings after which an upstream is not used for a while.
+_PLATFORM: Final = 'platform'
+
+
+async def watch_configuration(instance: Instance) -> None:
+    """Watches the published configuration while this instance is a reader."""
+    while True:
+        if instance.views.rollout.catalogue and not is_reader(instance):
+            await trio.sleep(_RETRY_S)
+            continue
+        try:
+            await _watch_once(instance)
+        except PlatformUnavailableError:
+            instance.metrics.count('platform_unavailable')
+            await trio.sleep(_RETRY_S)
+
+
+async def watch_directory(instance: Instance) -> None:
+    """Reads the directory each period while this instance is a reader."""
+    period_s = _seconds(instance.settings.timing.directory_ms)
+    while True:
+        if is_reader(instance) or not instance.views.members.others():
+            await read_directory(instance)
+        await trio.sleep(period_s)
+
+
+async def watch_loads(instance: Instance) -> None:
+    """Reads the loads of this instance's part of the local upstreams."""
+    period_s = _seconds(instance.settings.timing.load_ms)
+    while True:
+        await trio.sleep(period_s)
+        async with trio.open_nursery() as nursery:
+            for upstream in _polled_upstreams(instance):
+                nursery.start_soon(_read_load, instance, upstream)
+
+
+async def watch_pauses(instance: Instance) -> None:
+    """Refreshes the view after a pause, before new work is accepted."""
+    while True:
+        await trio.sleep(_PAUSE_CHECK_S)
+        if not instance.pause.tick():
+            continue
+        instance.audit.record(Event.PAUSED, instance.identity.name)
+        with trio.move_on_after(_REFRESH_TIMEOUT_S):
+            await _refresh(instance)
+        instance.pause.reset()
+
+
+async def read_directory(instance: Instance) -> None:
+    """Reads the directory once; a failure leaves the view as it is."""
+    try:
+        directory = await instance.connections.platform.read_directory()
+    except PlatformUnavailableError:
+        instance.metrics.count('platform_unavailable')
+        return
+    instance.views.members.merge(directory.members)
+    for name in instance.views.upstreams.merge(directory.upstreams):
+        instance.audit.record(Event.UPSTREAM_LEAVING, name, 'directory')
+
+
+def is_reader(instance: Instance) -> bool:
+    """Tells whether this instance reads the platform for its data centre."""
+    own = instance.identity.name
+    names = [own, *_live_names(instance)]
+    return own in rendezvous(_PLATFORM, names, READERS)
+
+
+def rendezvous(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Returns the `count` names with the greatest hashes for a key."""
+
+    def weight(name: str) -> int:
+        return xxhash.xxh3_64_intdigest(f'{key}/{name}'.encode())
+
+    return sorted(names, key=weight, reverse=True)[:count]
+
+
+async def _watch_once(instance: Instance) -> None:
+    version = instance.version
+    platform = instance.connections.platform
+    offer = await platform.watch_configuration(version)
+    if offer is None:
+        instance.views.rollout.confirm(version)
+        return
+    decision = await offer_configuration(instance, offer, _PLATFORM)
+    if decision.version != instance.version or decision.faults:
+        await trio.sleep(_RETRY_S)
+
+
+async def _refresh(instance: Instance) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(read_directory, instance)
+        for member in instance.views.members.live_in(instance.data_centre):
+            nursery.start_soon(exchange_with, instance, member)
+
+
+def _polled_upstreams(instance: Instance) -> list[Upstream]:
+    catalogue = instance.views.rollout.catalogue
+    if catalogue is None:
+        return []
+    own = instance.identity.name
+    names = [own, *_live_names(instance)]
+    return [
+        upstream
+        for upstream in catalogue.configuration.upstreams
+        if upstream.data_centre == instance.data_centre
+        and own in rendezvous(upstream.name, names, 1)
+    ]
+
+
+async def _read_load(instance: Instance, upstream: Upstream) -> None:
+    try:
+        report = await instance.connections.upstreams.read_load(upstream)
+    except UpstreamFailedError:
+        instance.views.upstreams.avoid(upstream.name)
+        return
+    instance.views.upstreams.merge([report])
+
+
+def _live_names(instance: Instance) -> list[str]:
+    live = instance.views.members.live_in(instance.data_centre)
+    return [member.identity.name for member in live]
+
+
+def _seconds(period_ms: int) -> float:
+    return milliseconds(period_ms).total_seconds()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of masticstage; each module mirrors one of the package."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,109 @@
+"""Builders of test data."""
+
+import hashlib
+from datetime import timedelta
+from typing import Any
+
+from masticstage.clock import ManualClock, to_milliseconds
+from masticstage.configuration import Catalogue, check_configuration
+from masticstage.membership import Liveness, Member
+from masticstage.tokens import MemberId, Ticket
+
+OWNER = MemberId('a-0', 1)
+WITNESS = MemberId('a-1', 1)
+TEAM_KEY = 'key-of-north'
+
+
+def build_document(**changes: Any) -> dict[str, Any]:
+    """Returns a configuration of two regions, one data centre each."""
+    document: dict[str, Any] = {
+        'deployment': 'test',
+        'weights': {'latency': 1.0, 'traffic': 1.0, 'sent_away': 1.0},
+        'regions': [
+            {'name': 'north', 'data_centres': ['a']},
+            {'name': 'south', 'data_centres': ['b']},
+        ],
+        'teams': [build_team('north'), build_team('south')],
+        'services': [
+            {
+                'name': 'model',
+                'type': 'model',
+                'kinds': [
+                    {'name': 'open', 'regions': ['north', 'south']},
+                    {
+                        'name': 'private',
+                        'regions': ['north', 'south'],
+                        'bound_to_home': True,
+                    },
+                ],
+            },
+        ],
+        'upstreams': [build_upstream('a'), build_upstream('b')],
+    }
+    document.update(changes)
+    return document
+
+
+def build_team(home: str) -> dict[str, Any]:
+    """Returns a team at home in a region."""
+    key = f'key-of-{home}'.encode()
+    return {
+        'name': f'team-{home}',
+        'home': home,
+        'key_sha256': hashlib.sha256(key).hexdigest(),
+    }
+
+
+def build_upstream(data_centre: str, number: int = 0) -> dict[str, Any]:
+    """Returns a replica of the model."""
+    return {
+        'name': f'{data_centre}-engine-{number}',
+        'service': 'model',
+        'data_centre': data_centre,
+        'address': 'http://127.0.0.1:1',
+    }
+
+
+def build_catalogue(version: int = 1, **changes: Any) -> Catalogue:
+    """Returns a checked configuration."""
+    return check_configuration(version, build_document(**changes)).unwrap()
+
+
+def build_ticket(
+    clock: ManualClock,
+    ticket_id: str = 'ticket',
+    witness: MemberId | None = WITNESS,
+) -> Ticket:
+    """Returns a ticket that expires after a while."""
+    expires_at = clock.now() + timedelta(minutes=10)
+    return Ticket(
+        ticket_id,
+        OWNER,
+        witness,
+        'a',
+        'north',
+        'team-north',
+        'shop',
+        to_milliseconds(expires_at),
+        1,
+    )
+
+
+def build_member(
+    name: str,
+    *,
+    incarnation: int = 1,
+    heartbeat: int = 0,
+    liveness: Liveness = Liveness.LIVE,
+    data_centre: str = 'a',
+) -> Member:
+    """Returns a member record."""
+    return Member(
+        MemberId(name, incarnation),
+        data_centre,
+        'north',
+        f'{name}:1',
+        f'{name}:2',
+        liveness,
+        heartbeat,
+    )
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,252 @@
+"""Tests of the at-most-once decisions.
+
+The state machine delivers messages late, twice or never, lets either side
+crash, and checks every promise that was made.
+"""
+
+from datetime import timedelta
+
+import pytest
+from hypothesis import Phase, settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from returns.pipeline import is_successful
+
+from masticstage.clock import ManualClock
+from masticstage.outcomes import Answer, CallOutcome, Outcome
+from masticstage.tickets import OwnerBook, Step, Verdict, WitnessBook
+from tests.builders import OWNER, WITNESS, build_ticket
+
+RAN = CallOutcome(Outcome.RAN, Answer(200, 'text/plain', b'done'))
+
+
+#: Zero in one of ten draws.
+RARE = strategies.integers(0, 9)
+
+
+class TicketMachine(RuleBasedStateMachine):
+    """Owner, witness and asking instances under an unreliable network."""
+
+    owner_book = OwnerBook
+    witness_book = WitnessBook
+
+    @initialize(has_witness=strategies.booleans())
+    def start(self, has_witness):
+        self.clock = ManualClock()
+        self.ticket = build_ticket(
+            self.clock,
+            witness=WITNESS if has_witness else None,
+        )
+        self.owner = self.owner_book(self.clock, 10)
+        self.owner.issue(self.ticket)
+        self.witness = self.witness_book(self.clock, WITNESS, 10)
+        self.owner_is_up = True
+        self.intents = 0
+        self.verdicts = []
+        self.executions = 0
+        self.told = []
+
+    @precondition(lambda self: self.owner_is_up)
+    @rule()
+    def caller_reaches_owner(self):
+        if self.owner.begin(self.ticket.ticket_id):
+            self.intents += 1
+            if self.ticket.witness is None:
+                self.verdicts.append(Verdict.ACKNOWLEDGED)
+
+    @precondition(lambda self: self.intents and self.ticket.witness)
+    @rule()
+    def intent_arrives(self):
+        self.verdicts.append(self.witness.intend(self.ticket))
+
+    @precondition(lambda self: self.owner_is_up and self.intents)
+    @rule(chance=RARE)
+    def intent_times_out(self, chance):
+        if chance:
+            return
+        self._authorize(Verdict.REFUSED)
+
+    @precondition(lambda self: self.owner_is_up and self.verdicts)
+    @rule(chosen=strategies.integers(0, 9))
+    def verdict_arrives(self, chosen):
+        verdict = self.verdicts[chosen % len(self.verdicts)]
+        self._authorize(verdict)
+
+    @precondition(lambda self: self.owner_is_up)
+    @rule(outcome=strategies.sampled_from((RAN, CallOutcome(Outcome.UNKNOWN))))
+    def upstream_answers(self, outcome):
+        if self.owner.step(self.ticket.ticket_id) is Step.DISPATCHED:
+            self.owner.settle(self.ticket.ticket_id, outcome)
+
+    @precondition(lambda self: self.owner_is_up)
+    @rule()
+    def owner_copies_outcome(self):
+        if self.owner.step(self.ticket.ticket_id) is Step.SETTLED:
+            outcome = self.owner.outcome(self.ticket.ticket_id)
+            self.witness.copy_outcome(self.ticket, outcome)
+
+    @precondition(lambda self: self.owner_is_up)
+    @rule()
+    def owner_tells_caller(self):
+        self.told.append(self.owner.outcome(self.ticket.ticket_id).outcome)
+
+    @precondition(lambda self: self.ticket.witness)
+    @rule()
+    def other_instance_asks_witness(self):
+        self.told.append(self.witness.ask(self.ticket).outcome.outcome)
+
+    @rule(chance=RARE)
+    def owner_crashes(self, chance):
+        self.owner_is_up = self.owner_is_up and bool(chance)
+
+    @rule(chance=RARE)
+    def witness_is_replaced(self, chance):
+        if chance:
+            return
+        replaced = type(WITNESS)(WITNESS.name, WITNESS.incarnation + 1)
+        self.witness = self.witness_book(self.clock, replaced, 10)
+
+    @rule(chance=RARE, minutes=strategies.integers(1, 20))
+    def time_passes(self, chance, minutes):
+        if chance:
+            return
+        self.clock.advance(timedelta(minutes=minutes))
+        self.witness.discard_expired()
+        if self.owner_is_up:
+            self.owner.discard_expired()
+
+    @invariant()
+    def runs_at_most_once(self):
+        assert getattr(self, 'executions', 0) <= 1
+
+    @invariant()
+    def promises_hold(self):
+        told = getattr(self, 'told', ())
+        if Outcome.NOT_RUN in told:
+            assert not self.executions
+        if Outcome.RAN in told:
+            assert self.executions == 1
+
+    def _authorize(self, verdict):
+        if self.owner.authorize(self.ticket.ticket_id, verdict):
+            self.executions += 1
+
+
+class ForgetfulWitness(WitnessBook):
+    """Does not keep its seals."""
+
+    def ask(self, ticket):
+        answer = super().ask(ticket)
+        if answer.verdict is Verdict.SEALED:
+            self._entries.pop(ticket.ticket_id)
+        return answer
+
+
+class ImpostorWitness(WitnessBook):
+    """Answers for the incarnation that it has replaced."""
+
+    def ask(self, ticket):
+        self._identity = ticket.witness
+        return super().ask(ticket)
+
+
+class HastyOwner(OwnerBook):
+    """Goes on without the acknowledgement of its witness."""
+
+    def authorize(self, ticket_id, verdict):
+        return super().authorize(ticket_id, Verdict.ACKNOWLEDGED)
+
+
+class EagerOwner(OwnerBook):
+    """Runs a call again when it is repeated."""
+
+    def begin(self, ticket_id):
+        entry = self._entries.get(ticket_id)
+        if entry is not None:
+            entry.step = Step.ISSUED
+        return super().begin(ticket_id)
+
+
+SETTINGS = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    report_multiple_bugs=False,
+)
+SEARCH = settings(SETTINGS, phases=(Phase.generate,), max_examples=3000)
+TestTickets = TicketMachine.TestCase
+TestTickets.settings = SETTINGS
+
+
+@pytest.mark.parametrize('broken', [ForgetfulWitness, ImpostorWitness])
+def test_broken_witness_is_caught(broken):
+    machine = type('Broken', (TicketMachine,), {'witness_book': broken})
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(machine, settings=SEARCH)
+
+
+@pytest.mark.parametrize('broken', [HastyOwner, EagerOwner])
+def test_broken_owner_is_caught(broken):
+    machine = type('Broken', (TicketMachine,), {'owner_book': broken})
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(machine, settings=SEARCH)
+
+
+def test_full_owner_issues_no_ticket():
+    clock = ManualClock()
+    owner = OwnerBook(clock, 1)
+    assert is_successful(owner.issue(build_ticket(clock, 'first')))
+    assert not is_successful(owner.issue(build_ticket(clock, 'second')))
+
+
+def test_full_witness_refuses_intents_and_keeps_what_it_holds():
+    clock = ManualClock()
+    witness = WitnessBook(clock, WITNESS, 1)
+    first = build_ticket(clock, 'first')
+    assert witness.intend(first) is Verdict.ACKNOWLEDGED
+    assert witness.intend(build_ticket(clock, 'second')) is Verdict.REFUSED
+    assert witness.ask(first).verdict is Verdict.HELD
+
+
+def test_replaced_witness_never_says_not_run():
+    clock = ManualClock()
+    replaced = WitnessBook(clock, OWNER, 10)
+    answer = replaced.ask(build_ticket(clock))
+    assert answer.outcome.outcome is Outcome.UNKNOWN
+
+
+def test_outcome_is_repeated_by_the_witness():
+    clock = ManualClock()
+    witness = WitnessBook(clock, WITNESS, 10)
+    ticket = build_ticket(clock)
+    witness.intend(ticket)
+    witness.copy_outcome(ticket, RAN)
+    assert witness.ask(ticket).outcome == RAN
+
+
+def test_expired_ticket_is_not_begun():
+    clock = ManualClock()
+    owner = OwnerBook(clock, 10)
+    ticket = build_ticket(clock)
+    owner.issue(ticket)
+    clock.advance(timedelta(minutes=10))
+    assert not owner.begin(ticket.ticket_id)
+    assert owner.outcome(ticket.ticket_id).outcome is Outcome.NOT_RUN
+
+
+def test_expired_tickets_are_discarded_after_the_clock_skew():
+    clock = ManualClock()
+    owner = OwnerBook(clock, 10)
+    owner.issue(build_ticket(clock))
+    clock.advance(timedelta(minutes=11))
+    assert not owner.discard_expired()
+    clock.advance(timedelta(minutes=2))
+    assert owner.discard_expired() == 1
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,108 @@
+"""Generates the typed modules of the package from its schemas.
+
+Run by `make generate`.  The output is committed, so a build needs neither
+this program nor the protobuf compiler.
+"""
+
+import json
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any, Final
+
+from grpc_tools import protoc
+
+_ROOT: Final = Path(__file__).resolve().parent.parent
+_PACKAGE: Final = _ROOT / 'src' / 'masticstage'
+_TYPING: Final = 'from typing import Literal\n\n'
+_SCALARS: Final = MappingProxyType(
+    {
+        'string': 'str',
+        'integer': 'int',
+        'number': 'float',
+        'boolean': 'bool',
+    }
+)
+
+
+def _annotation(prop: dict[str, Any]) -> str:
+    reference = prop.get('$ref')
+    if reference is not None:
+        return str(reference).rpartition('/')[2]
+    enum = prop.get('enum')
+    if enum is not None:
+        choices = ', '.join(repr(choice) for choice in enum)
+        return f'Literal[{choices}]'
+    if prop['type'] == 'array':
+        element = _annotation(prop['items'])
+        return f'tuple[{element}, ...]'
+    return _SCALARS[prop['type']]
+
+
+def _field(name: str, prop: dict[str, Any], *, required: bool) -> str:
+    annotation = _annotation(prop)
+    if required:
+        return f'    {name}: {annotation}'
+    if '$ref' in prop:
+        return f'    {name}: {annotation} = attrs.field(factory={annotation})'
+    default = prop['default']
+    literal = '()' if isinstance(default, list) else repr(default)
+    return f'    {name}: {annotation} = {literal}'
+
+
+def _class(name: str, schema: dict[str, Any]) -> str:
+    required = set(schema.get('required', ()))
+    described = schema['description']
+    lines = [
+        '@attrs.frozen',
+        f'class {name}:',
+        f'    """{described}"""',
+        '',
+    ]
+    ordered = sorted(
+        schema['properties'].items(),
+        key=lambda pair: pair[0] not in required,
+    )
+    lines.extend(
+        _field(field, prop, required=field in required)
+        for field, prop in ordered
+    )
+    return '\n'.join(lines)
+
+
+def _module(schema_name: str) -> str:
+    path = _PACKAGE / 'schemas' / f'{schema_name}.json'
+    schema = json.loads(path.read_text())
+    classes = [_class(name, body) for name, body in schema['$defs'].items()]
+    classes.append(_class(schema['title'], schema))
+    joined = '\n\n\n'.join(classes)
+    typing_line = (
+        'from typing import Literal\n\n' if 'Literal' in joined else ''
+    )
+    return (
+        f'"""Typed form of schemas/{schema_name}.json (generated)."""\n\n'
+        f'{typing_line}import attrs\n\n\n{joined}\n'
+    )
+
+
+def main() -> None:
+    """Writes the generated modules."""
+    for schema_name in ('settings', 'configuration'):
+        target = _PACKAGE / f'{schema_name}_schema.py'
+        target.write_text(_module(schema_name))
+    source = _ROOT / 'schema'
+    output = _ROOT / 'src'
+    protoc.main(
+        [
+            'protoc',
+            f'-I{source}',
+            f'--python_out={output}',
+            f'--grpc_python_out={output}',
+            f'--mypy_out={output}',
+            f'--mypy_grpc_out={output}',
+            str(source / 'masticstage' / 'peer.proto'),
+        ]
+    )
+
+
+if __name__ == '__main__':
+    main()
