Prove the promises under injected failures; mend what the proof found

Ruled out: residency and leaving logic (no violation in their checks). Change: originals fill the budget; strikes are told to peers before a rerun and suspected requests run apart; ids are unique; forwarded answers have a silence bound of 5 s and a silent connection is replaced; the caller is asked to resume.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -5,6 +5,7 @@
 from itertools import pairwise
 from random import Random
 from time import monotonic
+from typing import Any
 
 import attrs
 import trio
@@ -66,14 +67,21 @@
             )
             return Observation(operation, outcome=Outcome.RAN)
         if operation.kind == ONCE:
-            outcome = await caller.run_once(
+            called = await caller.run_once(
                 self.deployment.application,
                 self.deployment.call_path,
                 operation.encode(),
                 operation.request_id,
                 self.timeout_s,
             )
-            return Observation(operation, outcome=outcome.outcome)
+            return Observation(
+                operation,
+                outcome=called.outcome.outcome,
+                body=called.outcome.answer.body
+                if called.outcome.answer
+                else b'',
+                sealed_tickets=called.sealed_tickets,
+            )
         answer = await caller.ask(
             operation.body,
             operation.kind,
@@ -97,21 +105,35 @@
     return CallerPool(deployment, callers)
 
 
-def collect_history(fleet: Fleet, pool: CallerPool) -> History:
-    """Returns the records of callers, upstreams and instances together."""
+def collect_history(
+    fleet: Fleet,
+    pool: CallerPool,
+    since_s: float = 0,
+) -> History:
+    """Returns the records of callers, upstreams and instances together.
+
+    Records of upstreams older than `since_s` (seconds since 1970) and audit
+    entries of other operations are left out.
+    """
+    request_ids = {seen.operation.request_id for seen in pool.observations}
     return History(
         fleet.deployment,
         tuple(pool.observations),
-        tuple(read_records(fleet.folder, '*.jsonl')),
+        tuple(
+            record
+            for record in read_records(fleet.folder, '*.jsonl')
+            if record['at_s'] >= since_s
+        ),
         tuple(
             line
             for name in fleet.instances()
             for line in _audit_lines(fleet, name)
+            if line['subject'] in request_ids
         ),
     )
 
 
-def _audit_lines(fleet: Fleet, name: str) -> Iterable[dict[str, object]]:
+def _audit_lines(fleet: Fleet, name: str) -> Iterable[dict[str, Any]]:
     for line in (fleet.folder / f'{name}.log').read_text().splitlines():
         if line.startswith('{'):
             fields = json.loads(line)
@@ -125,6 +147,7 @@
     return Observation(
         operation,
         text=answer.text,
+        stream_id=answer.stream_id,
         first_s=arrivals[0],
         gaps_s=gaps,
         resumes=answer.resumes,
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -13,6 +13,7 @@
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from random import Random
 from typing import Any, Final, final
 
 import attrs
@@ -33,6 +34,12 @@
 _STOP_TIMEOUT_S: Final = 10.0
 _LOCAL_S: Final = 0.001
 _POLL_S: Final = 0.05
+_REPLACE_S: Final = 1.0
+_LOWEST_PORT: Final = 10000
+_HIGHEST_PORT: Final = 32000
+#: Not seeded: runs side by side must not choose the same ports.
+_RANDOM: Final = Random()
+_HANDED_OUT: Final[set[int]] = set()
 _LOCAL_MBPS: Final = 10_000.0
 
 
@@ -134,6 +141,15 @@
         process.kill()
         await process.wait()
 
+    async def supervise(self) -> None:
+        """Replaces upstreams that have ended, as the platform does."""
+        while True:
+            await trio.sleep(_REPLACE_S)
+            for name, process in list(self.processes.items()):
+                is_upstream = '-engine-' in name or '-app-' in name
+                if is_upstream and process.poll() is not None:
+                    await self.spawn(name)
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to one process."""
         self.processes[name].send_signal(number)
@@ -387,14 +403,30 @@
 
 
 def free_ports(count: int) -> Iterator[int]:
-    """Yields ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(('127.0.0.1', 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    yield from ports
+    """Yields ports that are free now and were not yielded before.
+
+    They lie below the range from which outgoing connections take theirs.
+    """
+    for _ in range(count):
+        yield _free_port()
+
+
+def _free_port() -> int:
+    while True:
+        port = _RANDOM.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+        if port not in _HANDED_OUT and _can_bind(port):
+            _HANDED_OUT.add(port)
+            return port
+
+
+def _can_bind(port: int) -> bool:
+    with socket.socket() as tried:
+        tried.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            tried.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 async def _is_success(url: str) -> bool:
--- a/bench/history.py
+++ b/bench/history.py
@@ -3,6 +3,7 @@
 A check is a pure function from a history to its violations.
 """
 
+import json
 from collections import Counter
 from collections.abc import Iterator
 from types import MappingProxyType
@@ -11,10 +12,13 @@
 import attrs
 
 from bench.deployments import Deployment
-from bench.workload import PRIVATE, Operation
+from bench.workload import ONCE, PRIVATE, Operation
 from masticstage.outcomes import Outcome
 from standins.engine import digest_request, expected_text
 
+#: Upstreams that one request may crash.
+MAX_CRASHES: Final = 2
+
 
 @attrs.frozen
 class Observation:
@@ -26,6 +30,8 @@
     operation: Operation
     outcome: Outcome | None = None
     text: str | None = None
+    stream_id: str = ''
+    body: bytes = b''
     failure: str = ''
     started_s: float = 0
     first_s: float = 0
@@ -34,6 +40,7 @@
     resumes: int = 0
     restarts: int = 0
     longest_stall_s: float = 0
+    sealed_tickets: int = 0
 
 
 @attrs.frozen
@@ -86,7 +93,7 @@
             continue
         digest = digest_request(seen.operation.encode())
         tokens = seen.operation.body['max_tokens']
-        if seen.text != expected_text(digest, tokens):
+        if seen.text != expected_text(digest, seen.stream_id, tokens):
             yield Violation(
                 'whole_answer',
                 seen.operation.request_id,
@@ -94,6 +101,16 @@
             )
 
 
+def check_call_answers(history: History) -> Iterator[Violation]:
+    """A caller whose call ran gets the answer to that very call."""
+    for seen in history.observations:
+        if seen.outcome is not Outcome.RAN or seen.operation.kind != ONCE:
+            continue
+        request_id = seen.operation.request_id
+        if json.loads(seen.body or b'{}') != {'call': request_id, 'done': True}:
+            yield Violation('whole_answer', request_id, str(seen.body))
+
+
 def check_residency(history: History) -> Iterator[Violation]:
     """A request bound to its home is served in no other region."""
     homes = {
@@ -110,6 +127,18 @@
             yield Violation('residency', request_id, f'served in {served}')
 
 
+def check_quarantine(history: History) -> Iterator[Violation]:
+    """A request that crashes its upstreams reaches two of them at most."""
+    crashed: dict[str, set[str]] = {}
+    for record in history.records:
+        if record['event'] == 'crashed':
+            upstreams = crashed.setdefault(record['digest'], set())
+            upstreams.add(record['upstream'])
+    for digest, upstreams in crashed.items():
+        if len(upstreams) > MAX_CRASHES:
+            yield Violation('quarantine', digest, str(sorted(upstreams)))
+
+
 def check_no_loop(history: History) -> Iterator[Violation]:
     """A request that was transferred once is not transferred again."""
     for audit in history.audits:
@@ -125,8 +154,10 @@
         'at_most_once': check_at_most_once,
         'not_run': check_not_run,
         'whole_answer': check_whole_answer,
+        'call_answers': check_call_answers,
         'residency': check_residency,
         'no_loop': check_no_loop,
+        'quarantine': check_quarantine,
     }
 )
 
--- /dev/null
+++ b/bench/proof.py
@@ -0,0 +1,181 @@
+"""Results of a proof: violations, what was exercised, and measurements."""
+
+import sys
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any, Final
+
+import attrs
+
+from bench.checks import (
+    check_cut_off,
+    check_graceful_shutdown,
+    check_leaving,
+    operations_in_cut,
+    operations_in_drain,
+)
+from bench.faults import Ledger
+from bench.history import CHECKS, History, Observation, Violation
+from bench.monitor import Monitor, check_configuration, time_in_force
+from bench.workload import ONCE, PRIVATE
+from masticstage.outcomes import Outcome
+
+PROPERTIES: Final = (
+    'residency',
+    'no_loop',
+    'cut_off_region',
+    'whole_answer',
+    'not_run',
+    'at_most_once',
+    'leaving',
+    'graceful_shutdown',
+    'configuration',
+    'quarantine',
+)
+
+
+#: Stalls of a broken stream that are reported one by one.
+LONG_STALL_S: Final = 8.0
+
+
+@attrs.define
+class Proof:
+    """Results of all histories so far."""
+
+    seed: int
+    histories: int = 0
+    operations: int = 0
+    faults: Counter[str] = attrs.field(factory=Counter)
+    exercised: Counter[str] = attrs.field(factory=Counter)
+    violations: list[Violation] = attrs.field(factory=list)
+    unknown: Counter[str] = attrs.field(factory=Counter)
+    calls: Counter[str] = attrs.field(factory=Counter)
+    stalls_s: list[float] = attrs.field(factory=list)
+    in_force_s: list[float] = attrs.field(factory=list)
+    failures: list[str] = attrs.field(factory=list)
+
+    def note(
+        self,
+        history: History,
+        ledger: Ledger,
+        monitor: Monitor,
+    ) -> None:
+        """Checks a history and adds its results."""
+        found = list(find_violations(history, ledger, monitor))
+        fault = '+'.join(sorted(ledger.kinds))
+        for violation in found:
+            sys.stderr.write(f'{fault}: {violation}\n')
+        self.histories += 1
+        self.operations += len(history.observations)
+        self.faults.update(ledger.kinds)
+        self.exercised.update(count_exercised(history, ledger, monitor))
+        self.violations.extend(found)
+        for seen in history.observations:
+            self._note_observation(fault, seen)
+        for published in ledger.published:
+            elapsed_s = time_in_force(monitor.sightings, published)
+            if elapsed_s is not None:
+                self.in_force_s.append(elapsed_s)
+
+    def lines(self) -> Iterator[dict[str, Any]]:
+        """Yields one line for each property."""
+        counted = Counter(violation.name for violation in self.violations)
+        for name in PROPERTIES:
+            yield {
+                'property': name,
+                'histories': self.histories,
+                'faults': dict(self.faults),
+                'operations': self.operations,
+                'exercised': self.exercised[name],
+                'violations': counted[name],
+                'seed': self.seed,
+            }
+
+    def measures(self) -> dict[str, Any]:
+        """Returns the measurements of all histories."""
+        return {
+            'measure': 'failures',
+            'calls': self.calls.total(),
+            'unknown': self.unknown.total(),
+            'unknown_by_fault': {
+                fault: f'{count} of {self.calls[fault]}'
+                for fault, count in self.unknown.items()
+                if count
+            },
+            'failed_operations': len(self.failures),
+            'broken_streams': len(self.stalls_s),
+            'stall_p50_s': _quantile(self.stalls_s, 0.5),
+            'stall_worst_s': _quantile(self.stalls_s, 1),
+            'in_force_p50_s': _quantile(self.in_force_s, 0.5),
+            'in_force_worst_s': _quantile(self.in_force_s, 1),
+            'seed': self.seed,
+        }
+
+    def _note_observation(self, fault: str, seen: Observation) -> None:
+        request_id = seen.operation.request_id
+        if seen.operation.kind == ONCE:
+            self.calls[fault] += 1
+            self.unknown[fault] += seen.outcome is Outcome.UNKNOWN
+        if seen.resumes or seen.restarts:
+            self.stalls_s.append(seen.longest_stall_s)
+            if seen.longest_stall_s > LONG_STALL_S:
+                self.failures.append(
+                    f'{fault}: {request_id}: stalled '
+                    f'{seen.longest_stall_s:.1f} s',
+                )
+        if seen.failure and not request_id.startswith('poison'):
+            self.failures.append(f'{fault}: {request_id}: {seen.failure}')
+
+
+def find_violations(
+    history: History,
+    ledger: Ledger,
+    monitor: Monitor,
+) -> Iterator[Violation]:
+    """Yields the violations of all properties in a history."""
+    for check in CHECKS.values():
+        yield from check(history)
+    yield from check_configuration(monitor.sightings, ledger)
+    yield from check_cut_off(history, ledger)
+    yield from check_leaving(history, ledger)
+    yield from check_graceful_shutdown(history, ledger)
+
+
+def count_exercised(
+    history: History,
+    ledger: Ledger,
+    monitor: Monitor,
+) -> Counter[str]:
+    """Counts the cases in which each property was at stake."""
+    observations = history.observations
+    return Counter(
+        {
+            'residency': sum(
+                seen.operation.kind == PRIVATE for seen in observations
+            ),
+            'no_loop': sum(
+                audit['message'] == 'request transferred'
+                for audit in history.audits
+            ),
+            'cut_off_region': sum(
+                len(list(operations_in_cut(history, ledger, cut)))
+                for cut in ledger.cut_off
+            ),
+            'whole_answer': sum(seen.text is not None for seen in observations),
+            'not_run': sum(seen.sealed_tickets for seen in observations),
+            'at_most_once': history.executions().total(),
+            'leaving': len(ledger.leaving),
+            'graceful_shutdown': len(operations_in_drain(history, ledger)),
+            'configuration': len(monitor.sightings),
+            'quarantine': sum(
+                record['event'] == 'crashed' for record in history.records
+            ),
+        }
+    )
+
+
+def _quantile(figures: list[float], share: float) -> float | None:
+    if not figures:
+        return None
+    position = min(int(share * len(figures)), len(figures) - 1)
+    return round(sorted(figures)[position], 3)
--- /dev/null
+++ b/bench/prove.py
@@ -0,0 +1,160 @@
+"""The program of `make prove`: the promises under failure, one by one.
+
+Several fleets run side by side.  Each history puts a fleet under load and
+injects one or two faults at random times from its seed.  The checks compare
+the records of callers, upstreams and instances.
+"""
+
+import json
+import sys
+import time
+from pathlib import Path
+from random import Random
+from typing import Final
+
+import attrs
+import fire
+import trio
+
+from bench.callers import CallerPool, collect_history, create_pool
+from bench.deployments import DEPLOYMENTS
+from bench.faults import FAULTS, Ledger, inject
+from bench.fleet import Fleet, running_fleet
+from bench.monitor import Monitor
+from bench.proof import Proof
+from bench.workload import Mix, generate_operations
+
+_LOAD_S: Final = 6.0
+_RATE_PER_S: Final = 12.0
+_SETTLE_S: Final = 1.0
+_EARLIEST_FAULT_S: Final = 0.5
+_CALL_DELAY_S: Final = 0.4
+_MIX: Final = Mix(call_delay_s=_CALL_DELAY_S)
+
+
+@attrs.define(eq=False)
+class Trial:
+    """One history while it runs."""
+
+    fleet: Fleet
+    pool: CallerPool
+    random: Random
+    ledger: Ledger = attrs.field(factory=Ledger)
+    monitor: Monitor = attrs.field(factory=Monitor)
+
+    async def run(self, kinds: tuple[str, ...]) -> None:
+        """Runs load and faults, until all operations have ended."""
+        operations = generate_operations(
+            self.fleet.deployment,
+            _RATE_PER_S,
+            _LOAD_S,
+            self.random,
+            _MIX,
+        )
+        async with trio.open_nursery() as watching:
+            watching.start_soon(self.monitor.watch, self.fleet)
+            watching.start_soon(self.fleet.supervise)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.pool.run, operations)
+                for kind in kinds:
+                    nursery.start_soon(self._inject, kind)
+            await trio.sleep(_SETTLE_S)
+            watching.cancel_scope.cancel()
+        await self.pool.close()
+
+    async def _inject(self, kind: str) -> None:
+        await trio.sleep(self.random.uniform(_EARLIEST_FAULT_S, _LOAD_S / 2))
+        before = len(self.ledger.extra_operations)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                inject,
+                kind,
+                self.fleet,
+                self.ledger,
+                self.random,
+            )
+            await trio.sleep(0)
+            for operation in self.ledger.extra_operations[before:]:
+                nursery.start_soon(self.pool.run_one, operation)
+
+
+def plan_histories(count: int, random: Random) -> list[tuple[str, ...]]:
+    """Returns the faults of each history: each alone, then pairs."""
+    kinds = list(FAULTS)
+    planned: list[tuple[str, ...]] = [(kind,) for kind in kinds]
+    while len(planned) < count:
+        others = random.sample(kinds, len(kinds))
+        planned.extend(zip(kinds, others, strict=True))
+    return planned[:count]
+
+
+async def run_fleet(
+    number: int,
+    planned: list[tuple[str, ...]],
+    proof: Proof,
+) -> None:
+    """Runs planned histories on one fleet, until none is left."""
+    deployment = list(DEPLOYMENTS.values())[number % len(DEPLOYMENTS)]
+    folder = Path('out') / f'prove-{number}'
+    async with running_fleet(deployment, folder) as fleet:
+        while planned:
+            kinds = planned.pop(0)
+            random = Random(f'{proof.seed}/{kinds}/{len(planned)}')
+            trial = Trial(fleet, create_pool(fleet, random), random)
+            since_s = time.time()
+            await trial.run(kinds)
+            history = collect_history(fleet, trial.pool, since_s)
+            proof.note(history, trial.ledger, trial.monitor)
+            _show_progress(number, kinds, proof)
+
+
+def _show_progress(number: int, kinds: tuple[str, ...], proof: Proof) -> None:
+    described = '+'.join(kinds)
+    sys.stderr.write(
+        f'fleet {number}: {described}: {len(proof.violations)} violations '
+        f'in {proof.histories} histories\n',
+    )
+
+
+async def prove(
+    seed: int,
+    fleets: int,
+    planned: list[tuple[str, ...]],
+) -> Proof:
+    """Runs all histories and returns the proof."""
+    proof = Proof(seed)
+    async with trio.open_nursery() as nursery:
+        for number in range(fleets):
+            nursery.start_soon(run_fleet, number, planned, proof)
+    return proof
+
+
+def run(
+    seed: int = 1,
+    histories: int = 64,
+    fleets: int = 4,
+    only: str = '',
+) -> None:
+    """Proves the properties; exits with 0 only without violations.
+
+    Args:
+        seed: origin of all random choices.
+        histories: number of histories.
+        fleets: number of deployments that run side by side.
+        only: one kind of fault, or several joined by `+`, for all histories.
+
+    """
+    planned = plan_histories(histories, Random(seed))
+    if only:
+        planned = [tuple(only.split('+')) for _ in range(histories)]
+    proof = trio.run(prove, seed, fleets, planned)
+    for failure in proof.failures:
+        sys.stderr.write(f'failed: {failure}\n')
+    sys.stdout.write(f'{json.dumps(proof.measures())}\n')
+    for line in proof.lines():
+        sys.stdout.write(f'{json.dumps(line)}\n')
+    sys.exit(1 if proof.violations else 0)
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -24,9 +24,10 @@
     question_share: float = 0.3
     private_share: float = 0.14
     once_share: float = 0.21
-    long_tokens: int = 60
-    short_tokens: int = 15
+    long_tokens: int = 80
+    short_tokens: int = 40
     histories: int = 12
+    call_delay_s: float = 0
 
 
 @attrs.frozen
@@ -102,7 +103,8 @@
     mix: Mix,
 ) -> dict[str, Any]:
     if kind == ONCE:
-        return {'call': request_id, 'quantity': random.randrange(1, 9)}
+        delay_s = random.uniform(0, mix.call_delay_s)
+        return {'call': request_id, 'delay_s': round(delay_s, 3)}
     if kind == LOOK_UP:
         return {'claim': random.randrange(1000)}
     is_short = kind == QUESTION
--- a/src/masticstage/admission.py
+++ b/src/masticstage/admission.py
@@ -23,6 +23,8 @@
 GUARANTEED_OPEN: Final = 4
 #: Part of a kind's timeout that its predicted wait may take.
 WAIT_SHARE: Final = 0.5
+#: Part of a kind's timeout from which on a service counts as congested.
+CONGESTED_SHARE: Final = 0.05
 
 
 @final
@@ -78,6 +80,12 @@
         return used >= self._total * team.share / shares
 
 
+def is_congested(kind: Kind, predicted_wait: timedelta) -> bool:
+    """Tells whether teams are held to their shares of a service."""
+    timeout = timedelta(milliseconds=kind.timeout_ms)
+    return predicted_wait > CONGESTED_SHARE * timeout
+
+
 def is_too_late(kind: Kind, predicted_wait: timedelta) -> bool:
     """Tells whether a request would miss its deadline in the queue."""
     timeout = timedelta(milliseconds=kind.timeout_ms)
--- a/src/masticstage/call_program.py
+++ b/src/masticstage/call_program.py
@@ -87,13 +87,14 @@
     encoded = body.encode() if isinstance(body, str) else json.dumps(body)
 
     async def answer(caller: Caller) -> Exit:
-        outcome = await caller.run_once(
+        called = await caller.run_once(
             service,
             path,
             encoded if isinstance(encoded, bytes) else encoded.encode(),
             uuid4().hex,
             _TIMEOUT_S,
         )
+        outcome = called.outcome
         sys.stdout.write(f'{outcome.outcome.value}\n')
         if outcome.answer is not None:
             sys.stdout.write(f'{outcome.answer.body.decode()}\n')
--- a/src/masticstage/caller.py
+++ b/src/masticstage/caller.py
@@ -18,7 +18,13 @@
 from returns.result import Failure, Result, Success
 
 from masticstage.exceptions import MasticstageError
-from masticstage.outcomes import Answer, CallOutcome, Outcome
+from masticstage.outcomes import (
+    NOT_RUN,
+    UNKNOWN,
+    Answer,
+    CallOutcome,
+    Outcome,
+)
 from masticstage.requests import (
     JSON_TYPE,
     KIND_HEADER,
@@ -90,6 +96,14 @@
     arrivals_s: list[float] = attrs.field(factory=list)
 
 
+@attrs.define
+class CalledOnce:
+    """What is known of a call, and how many of its tickets were sealed."""
+
+    outcome: CallOutcome = NOT_RUN
+    sealed_tickets: int = 0
+
+
 @attrs.define
 class _Entry:
     """An instance that may be used, avoided for a while after a failure."""
@@ -180,24 +194,25 @@
         body: bytes,
         request_id: str,
         timeout_s: float,
-    ) -> CallOutcome:
+    ) -> CalledOnce:
         """Runs a call at most once and returns what is known of it.
 
         A new ticket is taken only after the last one was sealed.
         """
-        outcome = CallOutcome(Outcome.NOT_RUN)
+        called = CalledOnce()
         with trio.move_on_after(timeout_s):
             for _ in range(_MAX_TICKETS):
                 ticket = await self._take_ticket(service, request_id)
-                outcome = CallOutcome(Outcome.UNKNOWN)
-                outcome = await self._repeat(
+                called.outcome = UNKNOWN
+                called.outcome = await self._repeat(
                     f'/v1/services/{service}{path}',
                     body,
                     {TICKET_HEADER: ticket, REQUEST_ID_HEADER: request_id},
                 )
-                if outcome.outcome is Outcome.RAN:
+                if called.outcome.outcome is Outcome.RAN:
                     break
-        return outcome
+                called.sealed_tickets += 1
+        return called
 
     async def _repeat(
         self,
@@ -344,13 +359,18 @@
     async for event in events:
         if event.event == 'answer':
             _take_mark(json.loads(event.data), answer)
-        elif event.event == 'error':
-            problem = json.loads(event.data)
-            raise CallRefusedError(int(problem['status']), problem)
-        elif not _take_event(event, answer):
+            continue
+        if event.event == 'error':
+            answer.session = ''
+            _raise_problem(json.loads(event.data))
+        if event.event == 'resume' or not _take_event(event, answer):
             return
 
 
+def _raise_problem(problem: Mapping[str, Any]) -> None:
+    raise CallRefusedError(int(problem['status']), problem)
+
+
 def _take_mark(mark: Mapping[str, Any], answer: ModelAnswer) -> None:
     if mark['stream_id'] != answer.stream_id:
         answer.restarts += bool(answer.stream_id)
--- a/src/masticstage/caller_api.py
+++ b/src/masticstage/caller_api.py
@@ -10,7 +10,11 @@
 from quart import request as http_request
 from quart.wrappers import Request as HttpRequest
 from quart_trio import QuartTrio
-from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
+from werkzeug.exceptions import (
+    HTTPException,
+    InternalServerError,
+    RequestEntityTooLarge,
+)
 
 from masticstage.audit import Event
 from masticstage.clock import milliseconds
@@ -18,6 +22,7 @@
 from masticstage.configuration_schema import Kind, Team
 from masticstage.exceptions import (
     BodyTooLargeError,
+    InternalError,
     InvalidRequestError,
     InvalidTokenError,
     MasticstageError,
@@ -41,6 +46,7 @@
 from masticstage.status import describe_entries, describe_instance
 from masticstage.tokens import Session
 
+_NAME: Final = 'masticstage.web'
 _SERVICES: Final = '/v1/services'
 _METHODS: Final = ('GET', 'POST', 'PUT', 'DELETE')
 _MAX_REQUEST_ID: Final = 64
@@ -48,7 +54,7 @@
 
 def create_app(instance: Instance) -> QuartTrio:
     """Returns the web application of an instance."""
-    app = QuartTrio('masticstage')
+    app = QuartTrio(_NAME)
     app.config['MAX_CONTENT_LENGTH'] = instance.settings.limits.body_bytes
     app.config['RESPONSE_TIMEOUT'] = None
     app.config['BODY_TIMEOUT'] = (
@@ -117,6 +123,10 @@
         error = BodyTooLargeError(limit)
         return _to_response(refuse(instance, error, _request_id()))
 
+    @app.errorhandler(InternalServerError)
+    async def broken(_: InternalServerError) -> Response:
+        return _to_response(refuse(instance, InternalError(), _request_id()))
+
     @app.errorhandler(HTTPException)
     async def invalid(error: HTTPException) -> Response:
         described = InvalidRequestError(error.description or error.name)
--- a/src/masticstage/composition.py
+++ b/src/masticstage/composition.py
@@ -27,7 +27,7 @@
 from masticstage.peer_client import PeerClient
 from masticstage.peer_server import start_peer_server, stop_peer_server
 from masticstage.platform_client import PlatformClient
-from masticstage.quarantine import Quarantine
+from masticstage.quarantine import Quarantine, SuspectRuns
 from masticstage.retries import RetryBudget
 from masticstage.rollout import Rollout
 from masticstage.routing import Router
@@ -92,7 +92,7 @@
         random,
         TokenSigner(settings.tokens.secrets),
         Connections(
-            PeerClient(peer_timeout, _translations(settings)),
+            PeerClient(peer_timeout, nursery, _translations(settings)),
             UpstreamClient(silence),
             PlatformClient(settings.platform.address),
         ),
@@ -118,6 +118,7 @@
         Admission(limits.open_streams),
         Admission(limits.open_calls),
         Quarantine(clock),
+        SuspectRuns(),
         RetryBudget(),
     )
 
--- a/src/masticstage/engines.py
+++ b/src/masticstage/engines.py
@@ -102,14 +102,34 @@
         reconnects = 0
         while not self._is_finished():
             before = self.last_index
-            try:
-                await self._read_connection(is_new=is_new)
-            except UpstreamFailedError:
-                reconnects = 0 if self.last_index > before else reconnects + 1
-                if reconnects >= _RECONNECTS or self._abandoned_at:
-                    raise
-                await trio.sleep(_RECONNECT_DELAY_S)
+            failure = await self._try_connection(is_new=is_new)
             is_new = False
+            if failure is None:
+                continue
+            reconnects = 0 if self.last_index > before else reconnects + 1
+            if reconnects >= _RECONNECTS or self._abandoned_at:
+                raise failure
+            await trio.sleep(_RECONNECT_DELAY_S)
+
+    async def _try_connection(
+        self,
+        *,
+        is_new: bool,
+    ) -> UpstreamFailedError | None:
+        """Reads one connection; returns why it ended early.
+
+        Raises `UpstreamRefusedError` only when the engine cannot have seen
+        the request.
+        """
+        try:
+            await self._read_connection(is_new=is_new)
+        except UpstreamRefusedError as error:
+            if is_new:
+                raise
+            return UpstreamFailedError(error.upstream, 'gone')
+        except UpstreamFailedError as failure:
+            return failure
+        return None
 
     def _is_finished(self) -> bool:
         return self.ended or self._superseded or self._cancelled
@@ -181,8 +201,3 @@
     reader = EngineReader(instance, run, framer, send)
     instance.nursery.start_soon(reader.read)
     return reader, receive
-
-
-def is_refusal(error: MasticstageError | None) -> bool:
-    """Tells whether an engine never saw the request."""
-    return isinstance(error, UpstreamRefusedError)
--- a/src/masticstage/exceptions.py
+++ b/src/masticstage/exceptions.py
@@ -36,6 +36,12 @@
         return {name: getattr(self, name) for name in names}
 
 
+class InternalError(MasticstageError):
+    """The instance met a fault of its own; its log has the details."""
+
+    code = 'internal-error'
+
+
 class RejectedError(MasticstageError):
     """A request that was refused before any upstream saw it."""
 
@@ -156,11 +162,12 @@
 
 
 @attrs.define(eq=False)
-class QuarantinedError(RejectedError):
+class QuarantinedError(MasticstageError):
     """The request coincided with crashes of two upstreams."""
 
     code = 'quarantined'
     status = HTTPStatus.UNPROCESSABLE_ENTITY
+    outcome = Outcome.UNKNOWN
 
     fingerprint: str
 
--- a/src/masticstage/gossip.py
+++ b/src/masticstage/gossip.py
@@ -106,7 +106,10 @@
         ),
         members=[encode_member(member) for member in members],
         upstreams=_local_reports(instance) if is_near else [],
-        quarantined=instance.books.quarantine.condemned(),
+        strikes=[
+            pb.Strike(fingerprint=one.fingerprint, upstream=one.upstream)
+            for one in instance.books.quarantine.strikes()
+        ],
         summaries=[
             _encode_summary(summary) for summary in _own_summaries(instance)
         ],
@@ -124,8 +127,8 @@
         decode_report(record) for record in gossip.upstreams
     ):
         instance.audit.record(Event.UPSTREAM_LEAVING, name, 'told by a peer')
-    for fingerprint in gossip.quarantined:
-        _take_quarantined(instance, fingerprint)
+    for strike in gossip.strikes:
+        _take_strike(instance, strike)
     instance.views.summaries.merge(
         Summary(one.data_centre, one.service, one.reported_at_ms, one.wait_ms)
         for one in gossip.summaries
@@ -154,7 +157,7 @@
         catalogue = instance.views.rollout.catalogue
         released = catalogue.configuration.released if catalogue else ()
         instance.books.quarantine.release(released)
-        _announce(instance)
+        instance.nursery.start_soon(announce, instance)
     return decision
 
 
@@ -173,6 +176,19 @@
     await offer_configuration(instance, offer, member.identity.name)
 
 
+async def announce(instance: Instance) -> None:
+    """Tells news to some live instances at once; waits for their answers."""
+    others = [
+        member
+        for member in instance.views.members.others()
+        if member.liveness is Liveness.LIVE
+    ]
+    count = min(_ANNOUNCE_FANOUT, len(others))
+    async with trio.open_nursery() as nursery:
+        for member in instance.random.sample(others, count):
+            nursery.start_soon(exchange_with, instance, member)
+
+
 async def _join(instance: Instance) -> None:
     """Asks all known instances for their views, before the platform."""
     async with trio.open_nursery() as nursery:
@@ -211,8 +227,9 @@
     )
 
 
-def _take_quarantined(instance: Instance, fingerprint: str) -> None:
-    if instance.books.quarantine.condemn(fingerprint):
+def _take_strike(instance: Instance, strike: pb.Strike) -> None:
+    fingerprint = strike.fingerprint
+    if instance.books.quarantine.strike(fingerprint, strike.upstream):
         instance.audit.record(Event.QUARANTINED, fingerprint, 'told by a peer')
 
 
@@ -276,14 +293,3 @@
     sender = instance.views.members.find(gossip.sender.name)
     if sender is not None and (is_newer or conflicts):
         instance.nursery.start_soon(pull_configuration, instance, sender)
-
-
-def _announce(instance: Instance) -> None:
-    others = [
-        member
-        for member in instance.views.members.others()
-        if member.liveness is Liveness.LIVE
-    ]
-    count = min(_ANNOUNCE_FANOUT, len(others))
-    for member in instance.random.sample(others, count):
-        instance.nursery.start_soon(exchange_with, instance, member)
--- a/src/masticstage/instance.py
+++ b/src/masticstage/instance.py
@@ -19,7 +19,7 @@
 from masticstage.metrics import Metrics
 from masticstage.peer_client import PeerClient
 from masticstage.platform_client import PlatformClient
-from masticstage.quarantine import Quarantine
+from masticstage.quarantine import Quarantine, SuspectRuns
 from masticstage.retries import RetryBudget
 from masticstage.rollout import Rollout
 from masticstage.routing import Router
@@ -51,6 +51,7 @@
     streams: Admission
     calls: Admission
     quarantine: Quarantine
+    suspects: SuspectRuns
     budget: RetryBudget
 
 
--- a/src/masticstage/logs.py
+++ b/src/masticstage/logs.py
@@ -7,6 +7,8 @@
 from pythonjsonlogger.json import JsonFormatter
 
 LOGGER: Final = logging.getLogger('masticstage')
+#: Loggers of libraries that report faults of request handlers.
+_LIBRARIES: Final = ('masticstage.web', 'hypercorn.error', 'asyncio')
 _FIELDS: Final = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
 
@@ -15,6 +17,8 @@
     stream = logging.StreamHandler(sys.stderr)
     formatter = JsonFormatter(_FIELDS, static_fields={'instance': instance})
     stream.setFormatter(formatter)
-    LOGGER.addHandler(stream)
+    for name in (LOGGER.name, *_LIBRARIES):
+        logger = logging.getLogger(name)
+        logger.addHandler(stream)
+        logger.propagate = False
     LOGGER.setLevel(logging.INFO)
-    LOGGER.propagate = False
--- a/src/masticstage/models.py
+++ b/src/masticstage/models.py
@@ -4,11 +4,12 @@
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 from typing import Any, Final, final
+from uuid import uuid4
 
 import attrs
 import trio
 
-from masticstage.admission import is_too_late
+from masticstage.admission import is_congested, is_too_late
 from masticstage.audit import Event
 from masticstage.clock import milliseconds
 from masticstage.configuration_schema import Upstream
@@ -25,7 +26,9 @@
     TransferLimitError,
     UpstreamFailedError,
 )
+from masticstage.gossip import announce
 from masticstage.instance import Instance
+from masticstage.outcomes import Outcome
 from masticstage.placement import (
     Placement,
     demand_of,
@@ -41,12 +44,16 @@
 from masticstage.routing import Choice, Demand
 from masticstage.streams import (
     KEEP_ALIVE,
+    RESUME,
     AnswerMark,
     encode_failure,
 )
 from masticstage.tokens import Session
 
 _KEEP_ALIVE_S: Final = 2.0
+#: Longest time for which a suspected request waits to run apart.
+_APART_S: Final = 5.0
+_APART_POLL_S: Final = 0.05
 #: Generations of one answer that are started at most.
 _MAX_ANSWERS: Final = 4
 
@@ -58,10 +65,14 @@
         request.service,
         request.body,
     )
-    if instance.books.quarantine.contains(fingerprint):
+    quarantine = instance.books.quarantine
+    for upstream in request.session.struck if request.session else ():
+        quarantine.strike(fingerprint, upstream)
+    if quarantine.contains(fingerprint):
         raise QuarantinedError(fingerprint)
     if request.session is not None:
         return await _resume(instance, request, fingerprint)
+    instance.books.budget.record_request()
     return await _start(instance, request, fingerprint)
 
 
@@ -125,7 +136,7 @@
         return None
     if reply.status >= HTTPStatus.BAD_REQUEST and placement.local is not None:
         return None
-    return reply
+    return _resumable(reply)
 
 
 async def _resume(
@@ -149,7 +160,7 @@
         f'{session.upstream} after {request.last_index}',
     )
     if upstream is None or not _is_in_place(instance, request, upstream):
-        return _reply(generation, None)
+        return await _start_again(instance, request, fingerprint)
     run = EngineRun(
         request,
         upstream,
@@ -172,15 +183,43 @@
     member = pick_member(instance, session.data_centre)
     if member is not None:
         try:
-            return await forward(instance, request, member)
+            return _resumable(await forward(instance, request, member))
         except PeerUnreachableError:
             instance.metrics.count('resume_unreachable')
-    again = attrs.evolve(request, session=None, session_token='')
-    demand = _avoiding_struck(instance, again, fingerprint)
-    placement = place(instance, again, demand)
-    generation = Generation(instance, again, demand, fingerprint)
-    generation.answer = session.answer
-    return _reply(generation, _require_local(placement, again))
+    return await _start_again(instance, request, fingerprint)
+
+
+async def _start_again(
+    instance: Instance,
+    request: Request,
+    fingerprint: str,
+) -> Reply:
+    """Starts a new answer because the old one cannot be continued."""
+    again = attrs.evolve(
+        request,
+        session=None,
+        session_token='',
+        last_index=-1,
+    )
+    instance.audit.record(Event.RESTARTED, request.request_id, 'engine lost')
+    return await _start(instance, again, fingerprint)
+
+
+def _resumable(reply: Reply) -> Reply:
+    """Asks the caller to resume when the other instance falls silent."""
+    if reply.chunks is None:
+        return reply
+    return attrs.evolve(reply, chunks=_ending_with_resume(reply.chunks))
+
+
+async def _ending_with_resume(
+    chunks: AsyncIterator[bytes],
+) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in chunks:
+            yield chunk
+    except PeerUnreachableError:
+        yield RESUME
 
 
 def _check_session_place(
@@ -231,7 +270,7 @@
     refusal = instance.books.streams.refusal(
         instance.catalogue(),
         request.team,
-        is_congested=choice.wait_s > 0,
+        is_congested=is_congested(request.kind, wait),
     )
     if refusal is not None:
         raise refusal
@@ -255,6 +294,7 @@
     _demand: Demand
     _fingerprint: str
     answer: int = 0
+    _has_run: bool = False
 
     def next_run(self, choice: Choice | None = None) -> EngineRun:
         """Chooses the engine of the next generation of the answer."""
@@ -274,11 +314,10 @@
             f'{choice.upstream.name}: {choice.reason}, '
             f'wait {choice.wait_s:.3f} s, {choice.candidates} candidates',
         )
-        stream_id = f'{self._request.request_id}.{self.answer}'
         return EngineRun(
             self._request,
             choice.upstream,
-            stream_id,
+            f'{self._request.request_id}.{uuid4().hex}',
             self.answer,
         )
 
@@ -298,15 +337,18 @@
         while True:
             yield self._mark(run)
             reader, blocks = start_reader(self._instance, run)
-            async with blocks:
+            suspects = self._instance.books.suspects
+            with suspects.running(run.upstream.name, bool(self._struck())):
                 async for block in _with_keep_alive(blocks):
                     yield block
             if reader.ended or reader.superseded:
                 self._note_end(run, reader)
                 return
-            run = self._run_after(run, reader)
+            run = await self._run_after(run, reader)
 
-    def _run_after(self, run: EngineRun, reader: EngineReader) -> EngineRun:
+    async def _run_after(
+        self, run: EngineRun, reader: EngineReader
+    ) -> EngineRun:
         """Decides what follows a generation that its engine broke off."""
         failure = reader.failure or UpstreamFailedError(run.upstream.name, '')
         self._instance.views.upstreams.avoid(run.upstream.name)
@@ -315,16 +357,32 @@
             avoided=self._demand.avoided | {run.upstream.name},
         )
         if not isinstance(failure, RejectedError):
-            self._strike(run)
+            self._has_run = True
+            await self._strike(run)
             if not self._instance.books.budget.try_retry():
                 raise failure
         if self.answer >= _MAX_ANSWERS:
             raise failure
-        return self.next_run()
-
-    def _strike(self, run: EngineRun) -> None:
+        return await self._run_apart()
+
+    async def _run_apart(self) -> EngineRun:
+        """Waits until the next engine runs no other suspected request.
+
+        Otherwise a second crash would condemn the innocent ones as well.
+        """
+        suspects = self._instance.books.suspects
+        run = self.next_run()
+        with trio.move_on_after(_APART_S):
+            while suspects.are_at(run.upstream.name):
+                await trio.sleep(_APART_POLL_S)
+        return run
+
+    async def _strike(self, run: EngineRun) -> None:
+        """Notes a crash and tells the peers before anything runs again."""
         quarantine = self._instance.books.quarantine
-        if quarantine.strike(self._fingerprint, run.upstream.name):
+        is_condemned = quarantine.strike(self._fingerprint, run.upstream.name)
+        await announce(self._instance)
+        if is_condemned:
             self._instance.audit.record(
                 Event.QUARANTINED,
                 self._fingerprint,
@@ -333,6 +391,11 @@
         if quarantine.contains(self._fingerprint):
             raise QuarantinedError(self._fingerprint)
 
+    def _struck(self) -> frozenset[str]:
+        return self._instance.books.quarantine.struck_upstreams(
+            self._fingerprint,
+        )
+
     def _mark(self, run: EngineRun) -> bytes:
         session = Session(
             run.stream_id,
@@ -342,6 +405,7 @@
             self._request.service,
             self._request.kind.name,
             run.answer,
+            tuple(sorted(self._struck())),
         )
         token = self._instance.signer.sign_session(session)
         return AnswerMark(run.answer, run.stream_id, token).encode()
@@ -354,21 +418,24 @@
         )
 
     def _problem(self, error: MasticstageError) -> dict[str, object]:
-        return problem_document(
+        document = problem_document(
             error,
             self._request.request_id,
             self._instance.version,
         )
+        if self._has_run:
+            document['outcome'] = Outcome.UNKNOWN.value
+        return document
 
 
 async def _with_keep_alive(
     blocks: trio.MemoryReceiveChannel[bytes],
 ) -> AsyncIterator[bytes]:
-    while True:
-        block = KEEP_ALIVE
-        with trio.move_on_after(_KEEP_ALIVE_S):
-            try:
-                block = await blocks.receive()
-            except trio.EndOfChannel:
+    with blocks:
+        while True:
+            block: bytes | None = KEEP_ALIVE
+            with trio.move_on_after(_KEEP_ALIVE_S):
+                block = await anext(blocks, None)
+            if block is None:
                 return
-        yield block
+            yield block
--- a/src/masticstage/peer_client.py
+++ b/src/masticstage/peer_client.py
@@ -7,6 +7,7 @@
 
 import attrs
 import grpc
+import trio
 from trio_asyncio import aio_as_trio
 
 from masticstage import peer_pb2 as pb
@@ -19,9 +20,14 @@
 
 #: Largest message between instances, above the largest configuration.
 MAX_MESSAGE_BYTES: Final = 8388608
-_KEEPALIVE_MS: Final = 2000
-_KEEPALIVE_TIMEOUT_MS: Final = 1000
+_KEEPALIVE_MS: Final = 10000
+_KEEPALIVE_TIMEOUT_MS: Final = 2000
+#: Longest silence between two chunks of a forwarded answer.
+RELAY_SILENCE: Final = timedelta(seconds=5)
+#: Time for which a replaced connection may finish its open calls.
+_RETIRE_GRACE_S: Final = 60.0
 _BACKOFF_MS: Final = 500
+_MS_PER_S: Final = 1000
 #: Retries by the library stay off: a call may not be repeated silently.
 CHANNEL_OPTIONS: Final = (
     ('grpc.enable_retries', 0),
@@ -47,6 +53,7 @@
     """
 
     _timeout: timedelta
+    _nursery: trio.Nursery
     _translations: Mapping[str, str] = attrs.field(factory=dict)
     _channels: dict[str, grpc.aio.Channel] = attrs.field(factory=dict)
 
@@ -112,13 +119,21 @@
 
         The iterator must be closed (`aclosing`) by whoever opened it.
         """
-        timeout = request.timeout_ms / 1000
-        call = self._stub(address).Relay(request, timeout=timeout)
-        chunks = aio_as_trio(call)
+        call = self._stub(address).Relay(
+            request,
+            timeout=request.timeout_ms / _MS_PER_S,
+        )
+        chunks = aiter(aio_as_trio(call))
+        silence_s = request.timeout_ms / _MS_PER_S
         try:
-            async for chunk in chunks:
+            while True:
+                chunk = await self._next_chunk(address, chunks, silence_s)
+                if chunk is None:
+                    return
                 yield chunk
+                silence_s = RELAY_SILENCE.total_seconds()
         except grpc.aio.AioRpcError as error:
+            self._retire_if_silent(address, error)
             raise PeerUnreachableError(address) from error
         finally:
             call.cancel()
@@ -128,6 +143,18 @@
         for channel in self._channels.values():
             await from_trio(partial(channel.close, None))
 
+    async def _next_chunk(
+        self,
+        address: str,
+        chunks: AsyncIterator[pb.RelayChunk],
+        silence_s: float,
+    ) -> pb.RelayChunk | None:
+        """Returns the next chunk, None at the end of the answer."""
+        with trio.move_on_after(silence_s):
+            return await anext(chunks, None)
+        self._retire(address)
+        raise PeerUnreachableError(address)
+
     def _stub(self, address: str) -> 'PeerAsyncStub':
         channel = self._channels.get(address)
         if channel is None:
@@ -147,4 +174,23 @@
         try:
             return await from_trio(lambda: start(timeout))
         except grpc.aio.AioRpcError as error:
+            self._retire_if_silent(address, error)
             raise PeerUnreachableError(address) from error
+
+    def _retire_if_silent(
+        self,
+        address: str,
+        error: grpc.aio.AioRpcError,
+    ) -> None:
+        if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+            self._retire(address)
+
+    def _retire(self, address: str) -> None:
+        """Replaces a connection that may have gone silent for good.
+
+        Open calls may still finish on the old one.
+        """
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            close = partial(channel.close, _RETIRE_GRACE_S)
+            self._nursery.start_soon(from_trio, close)
--- a/src/masticstage/quarantine.py
+++ b/src/masticstage/quarantine.py
@@ -6,7 +6,9 @@
 request may have been present by coincidence.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Final, final
 
 import attrs
@@ -22,6 +24,14 @@
 LIFETIME_S: Final = 3600
 
 
+@attrs.frozen
+class Strike:
+    """An upstream crashed while it was running a request."""
+
+    fingerprint: str
+    upstream: str
+
+
 @attrs.define
 class _Suspicion:
     """Upstreams that crashed while running a request."""
@@ -62,18 +72,21 @@
             return False
         return self._now_s() - suspicion.since_s < LIFETIME_S
 
-    def condemn(self, fingerprint: str) -> bool:
-        """Takes over another instance's verdict; True when it is new."""
-        if self.contains(fingerprint):
-            return False
-        self._suspicion(fingerprint).is_condemned = True
-        return True
-
     def release(self, fingerprints: tuple[str, ...]) -> None:
         """Forgets fingerprints that an operator has released."""
         for fingerprint in fingerprints:
             self._suspicions.pop(fingerprint, None)
 
+    def strikes(self) -> tuple[Strike, ...]:
+        """Returns all strikes that still hold, to be told to peers."""
+        now_s = self._now_s()
+        return tuple(
+            Strike(fingerprint, upstream)
+            for fingerprint, suspicion in self._suspicions.items()
+            if now_s - suspicion.since_s < LIFETIME_S
+            for upstream in suspicion.upstreams
+        )
+
     def condemned(self) -> tuple[str, ...]:
         """Returns the quarantined fingerprints."""
         return tuple(
@@ -97,6 +110,27 @@
         return self._clock.elapsed().total_seconds()
 
 
+@final
+@attrs.define
+class SuspectRuns:
+    """Suspected requests that now run at each upstream."""
+
+    _running: Counter[str] = attrs.field(factory=Counter)
+
+    def are_at(self, upstream: str) -> bool:
+        """Tells whether an upstream runs a suspected request."""
+        return self._running[upstream] > 0
+
+    @contextmanager
+    def running(self, upstream: str, is_suspect: bool) -> Iterator[None]:
+        """Counts a request as running, if it is suspected."""
+        self._running[upstream] += is_suspect
+        try:
+            yield
+        finally:
+            self._running[upstream] -= is_suspect
+
+
 def fingerprint_request(team: str, service: str, body: bytes) -> str:
     """Returns the fingerprint of a request's content, in hexadecimal."""
     prefix = f'{team}\0{service}\0'.encode()
--- a/src/masticstage/relays.py
+++ b/src/masticstage/relays.py
@@ -54,7 +54,7 @@
     return Reply(
         head.status,
         head.content_type,
-        chunks=_bodies(chunks),
+        chunks=_bodies(head, chunks),
         headers=headers,
     )
 
@@ -154,8 +154,11 @@
 
 
 async def _bodies(
+    head: pb.RelayChunk,
     chunks: AsyncIterator[pb.RelayChunk],
 ) -> AsyncIterator[bytes]:
+    if head.body:
+        yield head.body
     async for chunk in chunks:
         yield chunk.body
 
--- a/src/masticstage/status.py
+++ b/src/masticstage/status.py
@@ -9,6 +9,7 @@
 
 #: Time for which a caller may use a list of entries.
 ENTRIES_TTL_S: Final = 10
+_ALL: Final = '*'
 _OWN_WEIGHT: Final = 10
 _OTHER_WEIGHT: Final = 1
 
@@ -25,7 +26,10 @@
 
 
 def describe_instance(instance: Instance, subject: str) -> dict[str, Any]:
-    """Returns the beliefs of an instance and the audit of one subject."""
+    """Returns the beliefs of an instance and the audit of one subject.
+
+    The audit is empty without a subject; `*` stands for all subjects.
+    """
     views = instance.views
     return {
         'instance': instance.identity.name,
@@ -49,7 +53,7 @@
         },
         'quarantined': list(instance.books.quarantine.condemned()),
         'audit': [
-            _describe_audit(entry) for entry in instance.audit.about(subject)
+            _describe_audit(entry) for entry in _entries(instance, subject)
         ],
     }
 
@@ -100,6 +104,12 @@
     }
 
 
+def _entries(instance: Instance, subject: str) -> tuple[Entry, ...]:
+    if not subject:
+        return ()
+    return instance.audit.about('' if subject == _ALL else subject)
+
+
 def _describe_audit(entry: Entry) -> dict[str, str]:
     return {
         'moment': entry.moment.isoformat(),
--- a/src/masticstage/status_program.py
+++ b/src/masticstage/status_program.py
@@ -18,7 +18,7 @@
     Args:
         addresses: caller addresses of instances (http://host:port).
         about: a request id, ticket id, upstream, member or version; only
-            its entries of the audit trail are shown.
+            its entries of the audit trail are shown; `*` shows all.
 
     """
     answers = [_read(address, about) for address in addresses]
--- a/src/masticstage/streams.py
+++ b/src/masticstage/streams.py
@@ -92,5 +92,7 @@
     return f'event: error\ndata: {fields}\n\n'.encode()
 
 
+#: Event by which a caller is asked to resume, at this or another instance.
+RESUME: Final = b'event: resume\ndata: {}\n\n'
 #: Comment that keeps an idle connection open.
 KEEP_ALIVE: Final = b': keep-alive\n\n'
--- a/src/masticstage/tokens.py
+++ b/src/masticstage/tokens.py
@@ -48,7 +48,10 @@
 
 @attrs.frozen
 class Session:
-    """Where a model answer is generated, so that any instance resumes it."""
+    """Where a model answer is generated, so that any instance resumes it.
+
+    `struck` names the upstreams that crashed while running the request.
+    """
 
     stream_id: str
     upstream: str
@@ -57,6 +60,7 @@
     service: str
     kind: str
     answer: int
+    struck: tuple[str, ...] = ()
 
 
 @final
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,7 +3,7 @@
 It batches continuously over a number of slots, admits by priority, caches
 prompt prefixes, keeps each answer for resumption, accepts cancellation, and
 reports its load with a lag.  The text of an answer depends on the request
-only, so a checker can tell a whole answer from any other.
+and the stream, so a checker can tell a whole answer from any other.
 """
 
 import hashlib
@@ -157,9 +157,9 @@
         return trio.current_time() - stream.unattended_since_s > _UNATTENDED_S
 
 
-def expected_text(digest: str, tokens: int) -> str:
-    """Returns the whole answer to the request with a digest."""
-    return ''.join(f'{digest[:8]}:{index} ' for index in range(tokens))
+def expected_text(digest: str, stream_id: str, tokens: int) -> str:
+    """Returns the whole answer that a stream gives to a request."""
+    return ''.join(_token(digest, stream_id, index) for index in range(tokens))
 
 
 def digest_request(body: bytes) -> str:
@@ -169,11 +169,15 @@
 
 def encode_token(stream: Stream, index: int) -> bytes:
     """Returns the event of one token."""
-    delta = {'content': f'{stream.digest[:8]}:{index} '}
+    delta = {'content': _token(stream.digest, stream.stream_id, index)}
     chunk = {'id': stream.stream_id, 'choices': [{'delta': delta}]}
     return f'id: {index}\ndata: {json.dumps(chunk)}\n\n'.encode()
 
 
+def _token(digest: str, stream_id: str, index: int) -> str:
+    return f'{digest[:8]}-{stream_id[-4:]}:{index} '
+
+
 def create_app(engine: Engine, nursery: trio.Nursery) -> QuartTrio:
     """Returns the engine's web application."""
     app = QuartTrio('engine')
--- a/standins/records.py
+++ b/standins/records.py
@@ -8,7 +8,7 @@
 import os
 from pathlib import Path
 from time import time
-from typing import final
+from typing import Any, final
 
 
 @final
@@ -26,7 +26,7 @@
         os.write(self._descriptor, f'{line}\n'.encode())
 
 
-def read_records(folder: Path, pattern: str) -> list[dict[str, object]]:
+def read_records(folder: Path, pattern: str) -> list[dict[str, Any]]:
     """Returns the events of all record files that match a pattern."""
     return [
         {**json.loads(line), 'upstream': path.name.partition('.')[0]}
