Test what the proofs found; mend the proof's own faults

The trace of the call shows two tickets taken 13 ms apart for one operation: the proof itself had sent it twice, since two injected faults woke in one tick after the proof had stalled over reading all logs anew. The late versions were published while the platform answered 503, so that nobody could accept them. Ruled out: a second dispatch of one ticket (each of the two ran once).

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -45,6 +45,7 @@
     cut_off: list[Interval] = attrs.field(factory=list)
     leaving: list[Interval] = attrs.field(factory=list)
     published: list[Interval] = attrs.field(factory=list)
+    platform_down: list[Interval] = attrs.field(factory=list)
     disturbed: list[Interval] = attrs.field(factory=list)
     overdue_drains: list[str] = attrs.field(factory=list)
     extra_operations: list[Operation] = attrs.field(factory=list)
@@ -169,9 +170,11 @@
 
 async def stop_platform(fleet: Fleet, ledger: Ledger, random: Random) -> None:
     """Takes the platform down for a while."""
+    start_s = time.time()
     await fleet.control_platform('mode', {'is_down': True})
     await trio.sleep(PAUSE_S)
     await fleet.control_platform('mode', {})
+    ledger.platform_down.append(Interval('platform', start_s, time.time()))
 
 
 async def stale_platform(fleet: Fleet, ledger: Ledger, random: Random) -> None:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -28,6 +28,7 @@
     engine_names,
     instance_names,
 )
+from standins.records import RecordReader
 
 SECRET: Final = 'a-secret-for-trials-only'
 _READY_TIMEOUT_S: Final = 30.0
@@ -68,6 +69,11 @@
     version: int = 0
     leaving: set[str] = attrs.field(factory=set)
     started_ms: dict[str, int] = attrs.field(factory=dict)
+    records: RecordReader = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Reads the records from the fleet's folder."""
+        self.records = RecordReader(self.folder)
 
     async def start(self) -> None:
         """Starts all processes and waits until the instances are ready."""
--- a/bench/monitor.py
+++ b/bench/monitor.py
@@ -102,7 +102,8 @@
     ledger: Ledger,
     published: Interval,
 ) -> Iterator[Violation]:
-    due_s = published.start_s + IN_FORCE_S
+    accepted_s = _accepted_at(sightings, ledger, published)
+    due_s = accepted_s + IN_FORCE_S
     for seen in sightings:
         if seen.at_s <= due_s or seen.version >= int(published.subject):
             continue
@@ -111,10 +112,36 @@
                 'configuration',
                 seen.instance,
                 f'version {seen.version}, not {published.subject}, '
-                f'{seen.at_s - published.start_s:.1f} s after publication',
+                f'{seen.at_s - accepted_s:.1f} s after it was accepted',
             )
 
 
+def _accepted_at(
+    sightings: list[Sighting],
+    ledger: Ledger,
+    published: Interval,
+) -> float:
+    """Returns when a published version was accepted, at the latest.
+
+    While the platform is down a version cannot be read; it counts as
+    accepted when an instance has it in force, or the platform is back.
+    """
+    readable_s = published.start_s
+    for down in ledger.platform_down:
+        if (
+            down.start_s
+            < published.start_s + IN_FORCE_S
+            < down.end_s + (IN_FORCE_S)
+        ):
+            readable_s = max(readable_s, down.end_s)
+    in_force_s = [
+        seen.at_s
+        for seen in sightings
+        if seen.version >= int(published.subject)
+    ]
+    return min([readable_s, *in_force_s])
+
+
 def _is_disturbed(ledger: Ledger, seen: Sighting, since_s: float) -> bool:
     """Tells whether a fault excuses a late version of an instance."""
     return any(
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,339 @@
+"""Measurements of how the cost of one instance grows with the system.
+
+Each measurement runs the product's own code on data of several sizes and
+yields points, to which `fit` lays a straight line.
+"""
+
+import json
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+from itertools import repeat
+from random import Random
+from statistics import linear_regression, median
+from typing import Any, Final
+from uuid import uuid4
+
+import attrs
+
+from masticstage import peer_pb2 as pb
+from masticstage.clock import ManualClock, SystemClock, to_milliseconds
+from masticstage.configuration import check_configuration
+from masticstage.configuration_schema import Upstream, Weights
+from masticstage.membership import Member, MemberTable
+from masticstage.outcomes import Answer, CallOutcome, Outcome
+from masticstage.peer_messages import (
+    decode_member,
+    decode_report,
+    encode_member,
+    encode_report,
+)
+from masticstage.routing import Demand, Router
+from masticstage.tickets import WitnessBook
+from masticstage.tokens import MemberId, Ticket, TokenSigner
+from masticstage.upstream_table import LoadReport, UpstreamTable
+
+_REPEATS: Final = 5
+_MICROSECONDS: Final = 1_000_000
+_GONE_AFTER: Final = timedelta(seconds=15)
+
+
+@attrs.frozen
+class Slope:
+    """Measured points of one cost and the line through them."""
+
+    name: str
+    unit: str
+    per: str
+    points: tuple[tuple[float, float], ...]
+
+    @property
+    def slope(self) -> float:
+        """Cost for each further unit."""
+        return float(self._line.slope)
+
+    @property
+    def intercept(self) -> float:
+        """Cost that does not depend on the size."""
+        return float(self._line.intercept)
+
+    def at(self, size: float) -> float:
+        """Returns the cost at a size, by the line."""
+        return self.intercept + self.slope * size
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the JSON form."""
+        return {
+            'cost': self.name,
+            'unit': self.unit,
+            'per': self.per,
+            'slope': self.slope,
+            'intercept': self.intercept,
+            'points': self.points,
+        }
+
+    @property
+    def _line(self) -> Any:
+        sizes, costs = zip(*self.points, strict=True)
+        return linear_regression(sizes, costs)
+
+
+def measure_all() -> Iterator[Slope]:
+    """Yields all slopes."""
+    yield _slope('member memory', 'bytes', 'instances', _member_memory, _FLEET)
+    yield _slope('gossip message', 'bytes', 'changes', _gossip_bytes, _CHANGES)
+    yield _slope('gossip processing', 'us', 'changes', _gossip_us, _CHANGES)
+    yield _slope('load reports', 'bytes', 'upstreams', _report_bytes, _NEAR)
+    yield _slope('load processing', 'us', 'upstreams', _report_us, _NEAR)
+    yield _slope('summaries', 'bytes', 'summaries', _summary_bytes, _PLACES)
+    yield _slope('configuration', 'bytes', 'upstreams', _document_bytes, _FAR)
+    yield _slope('configuration check', 'us', 'upstreams', _check_us, _FAR)
+    yield _slope('configuration memory', 'bytes', 'upstreams', _held, _FAR)
+    yield _slope('team check', 'us', 'teams', _team_check_us, _TEAMS)
+    yield _slope('routing decision', 'us', 'upstreams', _routing_us, _NEAR)
+    yield _slope('held outcome', 'bytes', 'tickets', _ticket_memory, _TICKETS)
+    yield _slope('ticket signing', 'us', 'tickets', _signing_us, _SIGNED)
+
+
+_FLEET: Final = (100, 500, 1000, 2500)
+_CHANGES: Final = (1, 4, 16, 64)
+_NEAR: Final = (10, 50, 100, 200)
+_PLACES: Final = (8, 64, 512, 1856)
+_FAR: Final = (50, 200, 500, 1000)
+_TEAMS: Final = (50, 200, 500, 1000)
+_TICKETS: Final = (100, 1000, 5000)
+_SIGNED: Final = (10, 50, 100)
+
+
+def _slope(
+    name: str,
+    unit: str,
+    per: str,
+    measure: Callable[[int], float],
+    sizes: tuple[int, ...],
+) -> Slope:
+    points = tuple((float(size), measure(size)) for size in sizes)
+    return Slope(name, unit, per, points)
+
+
+def elapsed_us(work: Callable[[], object], times: int = 1) -> float:
+    """Returns the median processor time of one call in microseconds."""
+    costs = []
+    for _ in range(_REPEATS):
+        start = time.process_time()
+        for _ in repeat(None, times):
+            work()
+        costs.append((time.process_time() - start) / times)
+    return median(costs) * _MICROSECONDS
+
+
+def allocated_bytes(build: Callable[[], object]) -> float:
+    """Returns the memory that a built object holds."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    held = [build()]
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    held.clear()
+    return float(after - before)
+
+
+def build_member(number: int) -> Member:
+    """Returns the record of one instance among many."""
+    centre = number % 64
+    return Member(
+        MemberId(f'centre-{centre:02}-{number:04}', 1_800_000_000_000),
+        f'centre-{centre:02}',
+        f'region-{centre // 2:02}',
+        f'10.{centre}.{number // 250}.{number % 250}:7000',
+        f'10.{centre}.{number // 250}.{number % 250}:8000',
+        heartbeat=number,
+    )
+
+
+def build_table(count: int) -> MemberTable:
+    """Returns a table that knows a number of instances."""
+    table = MemberTable(ManualClock(), build_member(0), _GONE_AFTER)
+    table.merge(build_member(number) for number in range(1, count))
+    return table
+
+
+def build_document(upstreams: int, teams: int) -> dict[str, Any]:
+    """Returns a configuration of a given size."""
+    regions = [f'region-{number:02}' for number in range(31)]
+    return {
+        'deployment': 'large',
+        'weights': {'latency': 1.0, 'traffic': 1.0, 'sent_away': 1.0},
+        'regions': [
+            {'name': region, 'data_centres': [f'{region}-a', f'{region}-b']}
+            for region in regions
+        ],
+        'teams': [
+            {
+                'name': f'team-{number}',
+                'home': regions[number % len(regions)],
+                'key_sha256': f'{number:064x}',
+            }
+            for number in range(teams)
+        ],
+        'services': [
+            {
+                'name': f'model-{number}',
+                'type': 'model',
+                'kinds': [{'name': 'open', 'regions': regions}],
+            }
+            for number in range(29)
+        ],
+        'upstreams': [
+            {
+                'name': f'upstream-{number}',
+                'service': f'model-{number % 29}',
+                'data_centre': f'{regions[number % len(regions)]}-a',
+                'address': f'http://10.0.{number % 250}.{number // 250}:8000',
+                'slots': 8,
+            }
+            for number in range(upstreams)
+        ],
+    }
+
+
+def _member_memory(count: int) -> float:
+    return allocated_bytes(lambda: build_table(count))
+
+
+def _gossip(changes: int) -> pb.Gossip:
+    members = [encode_member(build_member(one)) for one in range(changes)]
+    return pb.Gossip(members=members)
+
+
+def _gossip_bytes(changes: int) -> float:
+    return float(_gossip(changes).ByteSize())
+
+
+def _gossip_us(changes: int) -> float:
+    table = build_table(2500)
+
+    def exchange() -> None:
+        encoded = pb.Gossip(
+            members=[encode_member(one) for one in table.changes(changes)],
+        ).SerializeToString()
+        received = pb.Gossip.FromString(encoded)
+        table.merge(decode_member(one) for one in received.members)
+
+    return elapsed_us(exchange)
+
+
+def _reports(count: int) -> list[LoadReport]:
+    return [
+        LoadReport(f'centre-00-upstream-{one:03}', 1, 1_800_000_000_000, 3, 8)
+        for one in range(count)
+    ]
+
+
+def _report_bytes(count: int) -> float:
+    records = [encode_report(report) for report in _reports(count)]
+    return float(pb.Gossip(upstreams=records).ByteSize())
+
+
+def _report_us(count: int) -> float:
+    table = UpstreamTable(SystemClock())
+    reports = _reports(count)
+
+    def exchange() -> None:
+        encoded = pb.Gossip(
+            upstreams=[encode_report(one) for one in reports],
+        ).SerializeToString()
+        received = pb.Gossip.FromString(encoded)
+        table.merge(decode_report(one) for one in received.upstreams)
+
+    return elapsed_us(exchange, 10)
+
+
+def _summary_bytes(count: int) -> float:
+    summaries = [
+        pb.ServiceSummary(
+            data_centre=f'centre-{one % 64:02}',
+            service=f'model-{one % 29:02}',
+            reported_at_ms=1_800_000_000_000,
+            wait_ms=120,
+        )
+        for one in range(count)
+    ]
+    return float(pb.Gossip(summaries=summaries).ByteSize())
+
+
+def _document_bytes(upstreams: int) -> float:
+    return float(len(json.dumps(build_document(upstreams, 0))))
+
+
+def _check_us(upstreams: int) -> float:
+    document = build_document(upstreams, 0)
+    return elapsed_us(lambda: check_configuration(1, document))
+
+
+def _team_check_us(teams: int) -> float:
+    document = build_document(29, teams)
+    return elapsed_us(lambda: check_configuration(1, document))
+
+
+def _held(upstreams: int) -> float:
+    document = build_document(upstreams, 0)
+    return allocated_bytes(lambda: check_configuration(1, document))
+
+
+def _routing_us(count: int) -> float:
+    clock = SystemClock()
+    router = Router(UpstreamTable(clock), Random(1))
+    upstreams = tuple(
+        Upstream(f'engine-{one}', 'model', 'a', 'http://10.0.0.1:1')
+        for one in range(count)
+    )
+    weights = Weights(1, 1, 1)
+    demand = Demand('model', 12345, 60000, 60500)
+
+    def decide() -> None:
+        router.choose(upstreams, demand, weights)
+
+    return elapsed_us(decide, 500)
+
+
+def _ticket(clock: SystemClock | ManualClock) -> Ticket:
+    witness = MemberId('centre-00-0001', 1)
+    return Ticket(
+        uuid4().hex,
+        MemberId('centre-00-0000', 1),
+        witness,
+        'centre-00',
+        'region-00',
+        'team-1',
+        'shop',
+        to_milliseconds(clock.now() + timedelta(minutes=10)),
+        1,
+    )
+
+
+def _ticket_memory(count: int) -> float:
+    clock = ManualClock()
+
+    def build() -> WitnessBook:
+        book = WitnessBook(clock, MemberId('centre-00-0001', 1), count)
+        for number in range(count):
+            ticket = _ticket(clock)
+            book.intend(ticket)
+            answer = Answer(200, 'application/json', bytes(200 + number % 2))
+            book.copy_outcome(ticket, CallOutcome(Outcome.RAN, answer))
+        return book
+
+    return allocated_bytes(build)
+
+
+def _signing_us(count: int) -> float:
+    signer = TokenSigner(('a-secret-for-trials',))
+    tickets = [_ticket(SystemClock()) for _ in range(count)]
+
+    def sign_all() -> None:
+        for ticket in tickets:
+            signer.verify_ticket(signer.sign_ticket(ticket))
+
+    return elapsed_us(sign_all)
--- a/src/masticstage/membership.py
+++ b/src/masticstage/membership.py
@@ -70,11 +70,16 @@
 @final
 @attrs.define
 class MemberTable:
-    """All known instances, with the records still to be passed on."""
+    """All known instances, with the records still to be passed on.
+
+    `expected_size` is a lower bound of the fleet's size, for an instance
+    that knows only few others yet.
+    """
 
     _clock: Clock
     _own: Member
     _gone_after: timedelta
+    _expected_size: int = 0
     _entries: dict[str, _Entry] = attrs.field(factory=dict)
 
     @property
@@ -216,11 +221,11 @@
         return self._store(attrs.evolve(entry.member, liveness=liveness))
 
     def _store(self, member: Member) -> Member:
-        doublings = (len(self._entries) + 2).bit_length()
+        size = max(len(self._entries) + 2, self._expected_size)
         self._entries[member.identity.name] = _Entry(
             member,
             self._clock.elapsed(),
-            _TRANSMISSIONS_PER_DOUBLING * doublings,
+            _TRANSMISSIONS_PER_DOUBLING * size.bit_length(),
         )
         return member
 
--- a/src/masticstage/upstream_table.py
+++ b/src/masticstage/upstream_table.py
@@ -118,9 +118,11 @@
         """Notes a request sent to an upstream."""
         state = self.state(name)
         state.in_flight += 1
-        state.dispatched_at.append(self._clock.elapsed())
-        while state.dispatched_at[0] <= state.received_at:
+        now = self._clock.elapsed()
+        outdated = max(state.received_at, now - STALE_AFTER)
+        while state.dispatched_at and state.dispatched_at[0] <= outdated:
             state.dispatched_at.popleft()
+        state.dispatched_at.append(now)
 
     def end(self, name: str, duration: timedelta | None) -> None:
         """Notes the end of a request; None when it did not complete."""
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,50 @@
+"""Tests of the framing of answers."""
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given, settings, strategies
+
+from masticstage.exceptions import UpstreamFailedError
+from masticstage.streams import MAX_EVENT_BYTES, AnswerFramer
+from tests.builders import build_end, build_event
+
+ANSWER = b''.join(build_event(index) for index in range(5)) + build_end(5)
+
+
+@settings(derandomize=True, deadline=None)
+@given(strategies.lists(strategies.integers(0, len(ANSWER)), max_size=8))
+def test_any_cut_into_chunks_gives_the_same_events(cuts):
+    framer = AnswerFramer('engine')
+    bounds = [0, *sorted(cuts), len(ANSWER)]
+    chunks = [ANSWER[start:end] for start, end in pairwise(bounds)]
+    blocks = [framer.feed(chunk) for chunk in chunks]
+    assert b''.join(blocks) == ANSWER
+    assert framer.ended
+
+
+@settings(derandomize=True, deadline=None)
+@given(strategies.integers(0, 200))
+def test_only_whole_events_are_passed_on(cut):
+    block = AnswerFramer('engine').feed(ANSWER[:cut])
+    assert not block or block.endswith(b'\n\n')
+
+
+def test_half_an_event_is_held_back():
+    framer = AnswerFramer('engine')
+    half = build_event(1)[:9]
+    assert framer.feed(build_event(0) + half) == build_event(0)
+    assert framer.last_index == 0
+    framer.reopen(0)
+    assert framer.feed(build_event(1)) == build_event(1)
+
+
+def test_event_without_end_is_refused():
+    framer = AnswerFramer('engine')
+    with pytest.raises(UpstreamFailedError):
+        framer.feed(b'x' * (MAX_EVENT_BYTES + 1))
+
+
+def test_event_without_id_is_refused():
+    with pytest.raises(UpstreamFailedError):
+        AnswerFramer('engine').feed(b'data: rubbish\n\n')
