--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -88,8 +88,12 @@
 def build_configuration(
     deployment: Deployment,
     upstream_addresses: dict[str, str],
+    slots: int,
 ) -> dict[str, Any]:
-    """Returns the configuration document of a deployment."""
+    """Returns the configuration document of a deployment.
+
+    `slots` is the number of answers that an engine generates at once.
+    """
     regions = [place.region for place in deployment.places]
     return {
         'deployment': deployment.name,
@@ -103,7 +107,12 @@
         'upstreams': [
             upstream
             for place in deployment.places
-            for upstream in _upstreams(deployment, place, upstream_addresses)
+            for upstream in _upstreams(
+                deployment,
+                place,
+                upstream_addresses,
+                slots,
+            )
         ],
     }
 
@@ -209,6 +218,7 @@
     deployment: Deployment,
     place: Place,
     addresses: dict[str, str],
+    slots: int,
 ) -> list[dict[str, Any]]:
     return [
         {
@@ -216,7 +226,7 @@
             'service': service,
             'data_centre': place.data_centre,
             'address': f'http://{addresses[name]}',
-            'slots': 8,
+            'slots': slots,
         }
         for service, names in (
             (deployment.model, engine_names(place)),
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -169,7 +169,11 @@
 
     def configuration(self) -> dict[str, Any]:
         """Returns the configuration document of the deployment."""
-        return build_configuration(self.deployment, self.addresses)
+        return build_configuration(
+            self.deployment,
+            self.addresses,
+            self.options.slots,
+        )
 
     async def publish(
         self,
--- a/src/masticstage/routing.py
+++ b/src/masticstage/routing.py
@@ -28,6 +28,9 @@
 #: Time to process one uncached byte of a prompt, in seconds.
 PREFILL_S_PER_BYTE: Final = 0.00001
 
+#: Delay that a full batch adds to an answer that need not wait, in seconds.
+CROWDING_S: Final = 0.2
+
 
 @attrs.frozen
 class Demand:
@@ -219,8 +222,10 @@
         if is_cached:
             uncached -= demand.prefix_bytes
         prefill_s = uncached * PREFILL_S_PER_BYTE
+        backlog = self._table.backlog(upstream.name)
+        crowding_s = CROWDING_S * backlog / upstream.slots
         reason = 'cached prefix' if is_cached else 'least expected delay'
-        score = weights.latency * (wait_s + prefill_s)
+        score = weights.latency * (wait_s + prefill_s + crowding_s)
         return Choice(upstream, reason, wait_s, score, 1)
 
 
--- a/src/masticstage/upstream_table.py
+++ b/src/masticstage/upstream_table.py
@@ -82,8 +82,11 @@
         return attrs.evolve(state.report, leaving=state.is_leaving)
 
     def expected_wait_s(self, name: str, slots: int) -> float:
-        """Returns how long new work would wait at an upstream, in seconds."""
-        return self.state(name).service_s * self.backlog(name) / slots
+        """Returns how long new work would wait for a slot, in seconds."""
+        ahead = self.backlog(name) + 1 - slots
+        if ahead <= 0:
+            return 0
+        return self.state(name).service_s * ahead / slots
 
     def merge(self, reports: Iterable[LoadReport]) -> tuple[str, ...]:
         """Takes in reports; returns the upstreams that began to leave."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -170,7 +170,11 @@
 def encode_token(stream: Stream, index: int) -> bytes:
     """Returns the event of one token."""
     delta = {'content': _token(stream.digest, stream.stream_id, index)}
-    chunk = {'id': stream.stream_id, 'choices': [{'delta': delta}]}
+    chunk = {
+        'id': stream.stream_id,
+        'at_s': time(),
+        'choices': [{'delta': delta}],
+    }
     return f'id: {index}\ndata: {json.dumps(chunk)}\n\n'.encode()
 
 
