--- a/src/masticstage/admission.py
+++ b/src/masticstage/admission.py
@@ -6,11 +6,12 @@
 """
 
 from collections import Counter
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Final, final
 
 import attrs
 
+from masticstage.clock import to_milliseconds
 from masticstage.configuration import Catalogue
 from masticstage.configuration_schema import Kind, Team
 from masticstage.exceptions import (
@@ -23,9 +24,15 @@
 GUARANTEED_OPEN: Final = 4
 #: Part of a kind's timeout that its predicted wait may take.
 WAIT_SHARE: Final = 0.5
+#: Longest predicted wait with which any request is accepted.
+MAX_WAIT: Final = timedelta(seconds=6)
 #: Part of a kind's timeout from which on a service counts as congested.
 CONGESTED_SHARE: Final = 0.05
 
+#: Part of its timeout after which a request of the least priority is due.
+SLACK_SHARE: Final = 0.1
+MAX_PRIORITY: Final = 9
+
 
 @final
 @attrs.define
@@ -80,13 +87,28 @@
         return used >= self._total * team.share / shares
 
 
+def queue_rank(kind: Kind, now: datetime) -> int:
+    """Returns the rank of a request in an engine's queue.
+
+    It is the time at which the request becomes due, in milliseconds since
+    1970; the lowest rank is admitted first.  A higher priority is due
+    sooner, yet no kind waits for ever behind another.
+    """
+    urgency = MAX_PRIORITY + 1 - kind.priority
+    slack_ms = SLACK_SHARE * kind.timeout_ms * urgency / MAX_PRIORITY
+    return to_milliseconds(now) + round(slack_ms)
+
+
 def is_congested(kind: Kind, predicted_wait: timedelta) -> bool:
     """Tells whether teams are held to their shares of a service."""
     timeout = timedelta(milliseconds=kind.timeout_ms)
     return predicted_wait > CONGESTED_SHARE * timeout
 
 
-def is_too_late(kind: Kind, predicted_wait: timedelta) -> bool:
-    """Tells whether a request would miss its deadline in the queue."""
-    timeout = timedelta(milliseconds=kind.timeout_ms)
-    return predicted_wait > WAIT_SHARE * timeout
+def is_too_late(timeout: timedelta, predicted_wait: timedelta) -> bool:
+    """Tells whether a request would wait too long in the queue.
+
+    The bound is the same for kinds with long timeouts, so that overload
+    sheds all kinds alike.
+    """
+    return predicted_wait > min(WAIT_SHARE * timeout, MAX_WAIT)
--- a/src/masticstage/engines.py
+++ b/src/masticstage/engines.py
@@ -13,6 +13,7 @@
 import attrs
 import trio
 
+from masticstage.admission import queue_rank
 from masticstage.audit import Event
 from masticstage.clock import milliseconds
 from masticstage.configuration_schema import Upstream
@@ -30,8 +31,6 @@
 #: Attempts to reconnect to an engine before the answer is given up there.
 _RECONNECTS: Final = 3
 _RECONNECT_DELAY_S: Final = 0.1
-#: Event by which an engine ends a reader whose stream was resumed elsewhere.
-_SUPERSEDED: Final = b'event: superseded'
 
 
 @attrs.frozen
@@ -55,9 +54,9 @@
     _framer: AnswerFramer
     _send: trio.MemorySendChannel[bytes]
     _failure: MasticstageError | None = None
-    _superseded: bool = False
     _abandoned_at: timedelta | None = None
     _cancelled: bool = False
+    _first_at: timedelta | None = None
 
     @property
     def failure(self) -> MasticstageError | None:
@@ -77,18 +76,17 @@
     @property
     def superseded(self) -> bool:
         """Whether another instance has taken over the stream."""
-        return self._superseded
+        return self._framer.superseded
 
     async def read(self) -> None:
         """Reads until the end mark, a final failure or abandonment."""
         upstreams = self._instance.views.upstreams
         upstreams.begin(self._run.upstream.name)
-        started = self._instance.clock.elapsed()
         with self._send:
             await self._read_guarded()
         duration = None
-        if self.ended:
-            duration = self._instance.clock.elapsed() - started
+        if self.ended and self._first_at is not None:
+            duration = self._instance.clock.elapsed() - self._first_at
         upstreams.end(self._run.upstream.name, duration)
 
     async def _read_guarded(self) -> None:
@@ -132,7 +130,7 @@
         return None
 
     def _is_finished(self) -> bool:
-        return self.ended or self._superseded or self._cancelled
+        return self.ended or self.superseded or self._cancelled
 
     async def _read_connection(self, *, is_new: bool) -> None:
         self._framer.reopen(self.last_index)
@@ -152,7 +150,14 @@
         client = self._instance.connections.upstreams
         run = self._run
         if is_new:
-            return client.start_stream(run.upstream, run.request, run.stream_id)
+            now = self._instance.clock.now()
+            rank = queue_rank(run.request.kind, now)
+            return client.start_stream(
+                run.upstream,
+                run.request,
+                run.stream_id,
+                rank,
+            )
         return client.resume_stream(
             run.upstream,
             run.stream_id,
@@ -160,9 +165,9 @@
         )
 
     async def _pass_on(self, block: bytes) -> None:
-        if _SUPERSEDED in block:
-            self._superseded = True
-        if not block or self._superseded or self._abandoned_at:
+        if block and self._first_at is None:
+            self._first_at = self._instance.clock.elapsed()
+        if not block or self.superseded or self._abandoned_at:
             return
         try:
             await self._send.send(block)
--- a/src/masticstage/gossip.py
+++ b/src/masticstage/gossip.py
@@ -130,8 +130,7 @@
     for strike in gossip.strikes:
         _take_strike(instance, strike)
     instance.views.summaries.merge(
-        Summary(one.data_centre, one.service, one.reported_at_ms, one.wait_ms)
-        for one in gossip.summaries
+        _decode_summary(one) for one in gossip.summaries
     )
     _compare_configuration(instance, gossip)
 
@@ -235,24 +234,12 @@
 
 def _own_summaries(instance: Instance) -> list[Summary]:
     now_ms = to_milliseconds(instance.clock.now())
-    return [
-        Summary(instance.data_centre, service, now_ms, wait_ms)
-        for service, wait_ms in _local_waits(instance)
-    ]
-
-
-def _local_waits(instance: Instance) -> Iterator[tuple[str, int]]:
-    """Yields the mean wait of each service that can be served here."""
     table = instance.views.upstreams
-    for service, upstreams in _local_upstreams(instance):
-        waits_s = [
-            table.expected_wait_s(one.name, one.slots)
-            for one in upstreams
-            if table.is_usable(one.name)
-        ]
-        if waits_s:
-            mean_s = sum(waits_s) / len(waits_s)
-            yield service, round(mean_s * _MS_PER_S)
+    summaries = [
+        table.summarize(instance.data_centre, service, upstreams, now_ms)
+        for service, upstreams in _local_upstreams(instance)
+    ]
+    return [summary for summary in summaries if summary is not None]
 
 
 def _local_upstreams(
@@ -279,6 +266,19 @@
         service=summary.service,
         reported_at_ms=summary.reported_ms,
         wait_ms=summary.wait_ms,
+        free_slots=summary.free_slots,
+        slot_us=summary.slot_us,
+    )
+
+
+def _decode_summary(message: pb.ServiceSummary) -> Summary:
+    return Summary(
+        message.data_centre,
+        message.service,
+        message.reported_at_ms,
+        message.wait_ms,
+        message.free_slots,
+        message.slot_us,
     )
 
 
--- a/src/masticstage/models.py
+++ b/src/masticstage/models.py
@@ -128,6 +128,10 @@
     member = pick_member(instance, placement.transfer.data_centre)
     if member is None:
         return None
+    instance.views.summaries.note_transfer(
+        placement.transfer.data_centre,
+        request.service,
+    )
     try:
         reply = await forward(instance, request, member)
     except PeerUnreachableError:
@@ -265,7 +269,8 @@
 
 def _check_load(instance: Instance, request: Request, choice: Choice) -> None:
     wait = milliseconds(choice.wait_s * 1000)
-    if is_too_late(request.kind, wait):
+    timeout = milliseconds(request.kind.timeout_ms)
+    if is_too_late(timeout, wait):
         raise OverloadedError(request.service)
     refusal = instance.books.streams.refusal(
         instance.catalogue(),
--- a/src/masticstage/placement.py
+++ b/src/masticstage/placement.py
@@ -25,6 +25,7 @@
     Transfer,
     choose_transfer,
 )
+from masticstage.summaries import ExpectedWait
 
 _BITS_PER_MEGABIT = 1_000_000
 _BITS_PER_BYTE = 8
@@ -46,12 +47,10 @@
     local = None
     if instance.data_centre in allowed:
         local = _choose_local(instance, catalogue, demand)
-    remote = _choose_remote(instance, request, demand, allowed)
+    remote = _choose_remote(instance, request, demand, allowed, local)
     if local is None and remote is None:
         _refuse(instance, request, allowed)
-    if local is None or remote is None or remote.score < local.score:
-        return Placement(local, remote)
-    return Placement(local, None)
+    return Placement(local, remote)
 
 
 def demand_of(request: Request, prefix: str) -> Demand:
@@ -104,30 +103,31 @@
     request: Request,
     demand: Demand,
     allowed: frozenset[str],
+    local: Choice | None,
 ) -> Transfer | None:
     catalogue = instance.catalogue()
     places = tuple(
-        _remote_place(instance, catalogue, summary.data_centre, summary.wait_ms)
-        for summary in instance.views.summaries.fresh(demand.service)
+        _remote_place(instance, catalogue, summary)
+        for summary in instance.views.summaries.expected_waits(demand.service)
         if summary.data_centre in allowed
         and may_transfer(request.path, summary.data_centre)
         and instance.views.members.live_in(summary.data_centre)
         and summary.data_centre != instance.data_centre
     )
-    return choose_transfer(places, demand, catalogue.configuration.weights)
+    weights = catalogue.configuration.weights
+    return choose_transfer(places, demand, weights, local)
 
 
 def _remote_place(
     instance: Instance,
     catalogue: Catalogue,
-    data_centre: str,
-    wait_ms: int,
+    expected: ExpectedWait,
 ) -> RemotePlace:
-    region = catalogue.region_of[data_centre]
+    region = catalogue.region_of[expected.data_centre]
     is_near = region.name == instance.settings.instance.region
     return RemotePlace(
-        data_centre,
-        wait_ms / _MS_PER_S,
+        expected.data_centre,
+        expected.wait_s,
         0 if is_near else region.link_ms / _MS_PER_S,
         region.link_mbps * _BITS_PER_MEGABIT / _BITS_PER_BYTE,
     )
--- a/src/masticstage/routing.py
+++ b/src/masticstage/routing.py
@@ -28,6 +28,8 @@
 #: Time to process one uncached byte of a prompt, in seconds.
 PREFILL_S_PER_BYTE: Final = 0.00001
 
+#: Part of the local wait that a place for a transfer may have at most.
+TRANSFER_WAIT_SHARE: Final = 0.25
 #: Delay that a full batch adds to an answer that need not wait, in seconds.
 CROWDING_S: Final = 0.2
 
@@ -237,13 +239,22 @@
     places: tuple[RemotePlace, ...],
     demand: Demand,
     weights: Weights,
+    local: Choice | None,
 ) -> Transfer | None:
-    """Returns the best other data centre, None when there is none."""
+    """Returns a data centre that is better than the local choice, if any.
+
+    A place that is itself congested is left alone: under load everywhere,
+    transfers only spoil prefix caches and fill the links.
+    """
     transfers = [
         Transfer(place.data_centre, transfer_score(place, demand, weights))
         for place in places
+        if local is None or place.wait_s <= TRANSFER_WAIT_SHARE * local.wait_s
     ]
-    return min(transfers, key=_by_transfer_score, default=None)
+    best = min(transfers, key=_by_transfer_score, default=None)
+    if best is None or local is None or best.score < local.score:
+        return best
+    return None
 
 
 def transfer_score(
--- a/src/masticstage/streams.py
+++ b/src/masticstage/streams.py
@@ -17,6 +17,8 @@
 END_MARK: Final = b'data: [DONE]'
 #: Largest event that is accepted from an upstream.
 MAX_EVENT_BYTES: Final = 262144
+#: Event by which an engine ends a reader whose stream was resumed elsewhere.
+_SUPERSEDED: Final = b'event: superseded'
 _ID_FIELD: Final = b'id: '
 
 
@@ -32,6 +34,7 @@
     _tail: bytes = b''
     _last_index: int = -1
     _ended: bool = False
+    _superseded: bool = False
 
     @property
     def last_index(self) -> int:
@@ -43,6 +46,11 @@
         """Whether the end mark was seen."""
         return self._ended
 
+    @property
+    def superseded(self) -> bool:
+        """Whether another reader has taken the stream over."""
+        return self._superseded
+
     def feed(self, chunk: bytes) -> bytes:
         """Adds bytes; returns the whole events, empty when there is none."""
         head, boundary, tail = (self._tail + chunk).rpartition(BOUNDARY)
@@ -61,6 +69,9 @@
 
     def _note_progress(self, events: bytes) -> None:
         last_event = events.rpartition(BOUNDARY)[2]
+        if last_event.startswith(_SUPERSEDED):
+            self._superseded = True
+            return
         self._ended = END_MARK in last_event
         _, field, rest = last_event.rpartition(_ID_FIELD)
         index = rest.partition(b'\n')[0].strip()
--- a/src/masticstage/summaries.py
+++ b/src/masticstage/summaries.py
@@ -8,27 +8,50 @@
 
 from masticstage.clock import Clock
 
+_MS_PER_S: Final = 1000
+_US_PER_S: Final = 1_000_000
 #: Summaries older than this are not used for transfers.
 STALE_AFTER: Final = timedelta(seconds=10)
 
 
 @attrs.frozen
 class Summary:
-    """How long new work waits for a service in a data centre.
+    """What new work finds at a service in a data centre.
 
     `reported_ms` is in milliseconds since 1970 on the reporter's clock.
+    `slot_us` is the mean time after which one more slot becomes free, in
+    microseconds.
     """
 
     data_centre: str
     service: str
     reported_ms: int
     wait_ms: int
+    free_slots: int = 0
+    slot_us: int = 0
 
 
 @attrs.define
 class _Entry:
     summary: Summary
     received_at: timedelta
+    transfers: int = 0
+
+    def expected_wait_s(self) -> float:
+        """Returns the wait, with the own transfers since the report."""
+        summary = self.summary
+        excess = max(self.transfers - summary.free_slots, 0)
+        return (
+            summary.wait_ms / _MS_PER_S + excess * summary.slot_us / _US_PER_S
+        )
+
+
+@attrs.frozen
+class ExpectedWait:
+    """How long a request that is transferred now would wait there."""
+
+    data_centre: str
+    wait_s: float
 
 
 @final
@@ -48,15 +71,21 @@
             if known is None or _is_newer(summary, known.summary):
                 self._entries[key] = _Entry(summary, now)
 
-    def fresh(self, service: str) -> tuple[Summary, ...]:
-        """Returns the summaries of a service that are recent enough."""
+    def expected_waits(self, service: str) -> tuple[ExpectedWait, ...]:
+        """Returns the waits of a service that are known recently enough."""
         now = self._clock.elapsed()
         return tuple(
-            entry.summary
-            for (_, name), entry in self._entries.items()
+            ExpectedWait(data_centre, entry.expected_wait_s())
+            for (data_centre, name), entry in self._entries.items()
             if name == service and now - entry.received_at < STALE_AFTER
         )
 
+    def note_transfer(self, data_centre: str, service: str) -> None:
+        """Counts a request sent there until the next summary."""
+        entry = self._entries.get((data_centre, service))
+        if entry is not None:
+            entry.transfers += 1
+
 
 def _is_newer(summary: Summary, known: Summary) -> bool:
     return summary.reported_ms > known.reported_ms
--- a/src/masticstage/upstream_client.py
+++ b/src/masticstage/upstream_client.py
@@ -98,12 +98,16 @@
         upstream: Upstream,
         request: Request,
         stream_id: str,
+        rank: int,
     ) -> AsyncIterator[AsyncIterator[bytes]]:
-        """Starts a model answer; the body yields its events' bytes."""
+        """Starts a model answer; the body yields its events' bytes.
+
+        The engine admits requests of a lower `rank` first.
+        """
         headers = {
             'Content-Type': JSON_TYPE,
             'X-Request-Id': stream_id,
-            'X-Priority': str(request.kind.priority),
+            'X-Priority': str(rank),
         }
         opened = self._client.stream(
             'POST',
--- a/src/masticstage/upstream_table.py
+++ b/src/masticstage/upstream_table.py
@@ -13,6 +13,8 @@
 import attrs
 
 from masticstage.clock import Clock
+from masticstage.configuration_schema import Upstream
+from masticstage.summaries import Summary
 
 #: Reports older than this say nothing about the load any more.
 STALE_AFTER: Final = timedelta(seconds=5)
@@ -20,6 +22,8 @@
 AVOID_FOR: Final = timedelta(seconds=2)
 #: Weight of the newest service time in the running mean.
 _SMOOTHING: Final = 0.1
+_MS_PER_S: Final = 1000
+_US_PER_S: Final = 1_000_000
 
 
 @attrs.frozen
@@ -88,6 +92,29 @@
             return 0
         return self.state(name).service_s * ahead / slots
 
+    def summarize(
+        self,
+        data_centre: str,
+        service: str,
+        upstreams: tuple[Upstream, ...],
+        now_ms: int,
+    ) -> Summary | None:
+        """Sums up the usable upstreams of a service, None without any."""
+        usable = [one for one in upstreams if self.is_usable(one.name)]
+        if not usable:
+            return None
+        waits_s = [self.expected_wait_s(one.name, one.slots) for one in usable]
+        free = [one.slots - self.backlog(one.name) for one in usable]
+        rate = sum(one.slots / self.state(one.name).service_s for one in usable)
+        return Summary(
+            data_centre,
+            service,
+            now_ms,
+            round(sum(waits_s) / len(waits_s) * _MS_PER_S),
+            sum(max(slots, 0) for slots in free),
+            round(_US_PER_S / rate),
+        )
+
     def merge(self, reports: Iterable[LoadReport]) -> tuple[str, ...]:
         """Takes in reports; returns the upstreams that began to leave."""
         return tuple(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -114,7 +114,7 @@
 
     async def _admit(self, rank: int) -> None:
         self.arrivals += 1
-        waiting = _Waiting(-rank, self.arrivals)
+        waiting = _Waiting(rank, self.arrivals)
         heapq.heappush(self.queue, waiting)
         self._admit_next()
         await waiting.admitted.wait()
@@ -200,7 +200,7 @@
         engine.streams[stream.stream_id] = stream
         while len(engine.streams) > _KEPT_STREAMS:
             engine.streams.popitem(last=False)
-        rank = int(request.headers.get('X-Priority', '5'))
+        rank = int(request.headers.get('X-Priority', '0'))
         nursery.start_soon(engine.generate, stream, rank)
         return _stream_response(stream, 0)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -42,7 +42,7 @@
     called: list = attrs.field(factory=list)
 
     @asynccontextmanager
-    async def start_stream(self, upstream, request, stream_id):
+    async def start_stream(self, upstream, request, stream_id, rank):
         self.started.append(upstream.name)
         yield _play(self.starts.pop(0))
 
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -33,10 +33,11 @@
 
 def _run_with_instance(test):
     async def run():
-        async with trio.open_nursery() as nursery:
-            instance = build_test_instance(nursery, build_document())
-            await test(instance)
-            nursery.cancel_scope.cancel()
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                instance = build_test_instance(nursery, build_document())
+                await test(instance)
+                nursery.cancel_scope.cancel()
 
     trio.run(run)
 
