--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -401,6 +401,8 @@
     options: FleetOptions | None = None,
 ) -> AsyncIterator[Fleet]:
     """Runs the processes of a deployment for the length of a block."""
+    # A terminated program stops its processes like an interrupted one.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
     fleet = Fleet(deployment, folder, options or FleetOptions())
--- a/src/masticstage/caller.py
+++ b/src/masticstage/caller.py
@@ -38,7 +38,7 @@
 _SILENCE_S: Final = 6.0
 _PAUSE_S: Final = 0.2
 _REST_S: Final = 2.0
-_MAX_TICKETS: Final = 3
+_MAX_TICKETS: Final = 5
 #: Weight of an entry that is not listed any more.
 _UNLISTED_WEIGHT: Final = 0.01
 _DONE: Final = '[DONE]'
@@ -212,6 +212,7 @@
                 if called.outcome.outcome is Outcome.RAN:
                     break
                 called.sealed_tickets += 1
+                await trio.sleep(_PAUSE_S * 2**called.sealed_tickets)
         return called
 
     async def _repeat(
--- a/src/masticstage/peer_client.py
+++ b/src/masticstage/peer_client.py
@@ -79,12 +79,19 @@
         )
 
     async def intend(self, address: str, ticket: str) -> pb.WitnessReply:
-        """Asks the witness of a ticket to acknowledge its intent."""
+        """Asks the witness of a ticket to acknowledge its intent.
+
+        Waits for a connection, since a refusal seals the ticket.
+        """
         stub = self._stub(address)
         message = pb.WitnessRequest(ticket=ticket)
         return await self._call(
             address,
-            lambda timeout: stub.Intend(message, timeout=timeout),
+            lambda timeout: stub.Intend(
+                message,
+                timeout=timeout,
+                wait_for_ready=True,
+            ),
         )
 
     async def ask(self, address: str, ticket: str) -> pb.WitnessReply:
@@ -107,7 +114,11 @@
         message = pb.WitnessRequest(ticket=ticket, outcome=outcome)
         return await self._call(
             address,
-            lambda timeout: stub.CopyOutcome(message, timeout=timeout),
+            lambda timeout: stub.CopyOutcome(
+                message,
+                timeout=timeout,
+                wait_for_ready=True,
+            ),
         )
 
     async def relay(
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 import trio
+from trio.testing import wait_all_tasks_blocked
 
 from masticstage.engines import EngineRun, start_reader
 from tests.builders import build_document, build_event, build_request
@@ -52,7 +53,7 @@
     async def check(instance, reader, blocks):
         await blocks.receive()
         await blocks.aclose()
-        await trio.testing.wait_all_tasks_blocked()
+        await wait_all_tasks_blocked()
         assert instance.connections.upstreams.cancelled == ['a-model-0']
 
     chunks = AdvancingChunks([build_event(index) for index in range(100)])
