--- a/src/masticstage/caller_api.py
+++ b/src/masticstage/caller_api.py
@@ -17,6 +17,7 @@
 )
 
 from masticstage.audit import Event
+from masticstage.bodies import parse_object
 from masticstage.clock import milliseconds
 from masticstage.configuration import Catalogue
 from masticstage.configuration_schema import Kind, Team
@@ -30,7 +31,6 @@
     UnknownServiceError,
 )
 from masticstage.instance import Instance
-from masticstage.models import parse_object
 from masticstage.requests import (
     JSON_TYPE,
     KIND_HEADER,
--- a/src/masticstage/calls.py
+++ b/src/masticstage/calls.py
@@ -1,15 +1,11 @@
 """Calls of applications: idempotent ones, and tickets that run once."""
 
-from datetime import timedelta
 from http import HTTPStatus
 from typing import Final
 from uuid import uuid4
 
-import trio
-
-from masticstage.audit import Event
 from masticstage.clock import milliseconds, to_milliseconds
-from masticstage.configuration_schema import Upstream
+from masticstage.dispatch import call_upstream, remaining_time
 from masticstage.exceptions import (
     InvalidTokenError,
     MasticstageError,
@@ -23,17 +19,8 @@
     UpstreamRefusedError,
 )
 from masticstage.instance import Instance
-from masticstage.outcomes import (
-    NOT_RUN,
-    UNKNOWN,
-    Answer,
-    CallOutcome,
-    Outcome,
-)
-from masticstage.peer_messages import (
-    decode_witness_answer,
-    encode_outcome,
-)
+from masticstage.outcomes import Answer, CallOutcome, Outcome
+from masticstage.owners import ask_witness, run_as_owner
 from masticstage.placement import (
     demand_of,
     may_serve_here,
@@ -44,16 +31,12 @@
 from masticstage.requests import JSON_TYPE, Reply, Request
 from masticstage.residency import allowed_data_centres, may_transfer
 from masticstage.results import unwrap_or_raise
-from masticstage.tickets import Step, Verdict, WitnessAnswer
 from masticstage.tokens import MemberId, Ticket
 
 #: Attempts of a call, the first one included.
 _MAX_ATTEMPTS: Final = 3
 #: Part of the remaining time that the first attempt of a lookup may take.
 _ATTEMPT_SHARE: Final = 0.5
-_POLL_S: Final = 0.01
-#: Time for which a dispatched call is awaited after its caller's deadline.
-_LATE_ANSWER: Final = timedelta(seconds=60)
 
 
 async def run_idempotent(instance: Instance, request: Request) -> Reply:
@@ -82,7 +65,7 @@
     ticket = unwrap_or_raise(instance.signer.verify_ticket(request.ticket))
     _check_ticket(instance, request, ticket)
     if ticket.owner == instance.identity:
-        outcome = await _run_as_owner(instance, request, ticket)
+        outcome = await run_as_owner(instance, request, ticket)
         return _outcome_reply(outcome, ticket)
     if request.is_forwarded and ticket.data_centre != instance.data_centre:
         raise OutcomeUnknownError(ticket.ticket_id)
@@ -115,52 +98,21 @@
     upstream = placement.local.upstream
     if not may_serve_here(instance, request, upstream):
         raise NoUpstreamError(request.service)
-    answer = await _call_upstream(
+    answer = await call_upstream(
         instance,
         request,
         upstream,
-        _ATTEMPT_SHARE * _remaining(instance, request),
+        _ATTEMPT_SHARE * remaining_time(instance, request),
     )
     return Reply(answer.status, answer.content_type, answer.body)
 
 
-async def _call_upstream(
-    instance: Instance,
-    request: Request,
-    upstream: Upstream,
-    timeout: timedelta,
-) -> Answer:
-    table = instance.views.upstreams
-    started = instance.clock.elapsed()
-    instance.audit.record(Event.ROUTED, request.request_id, upstream.name)
-    table.begin(upstream.name)
-    duration = None
-    try:
-        answer = await instance.connections.upstreams.call(
-            upstream,
-            request,
-            timeout,
-            {'X-Request-Id': request.request_id},
-        )
-        duration = instance.clock.elapsed() - started
-    except (UpstreamFailedError, UpstreamRefusedError):
-        table.avoid(upstream.name)
-        raise
-    finally:
-        table.end(upstream.name, duration)
-    return answer
-
-
 def _may_retry(instance: Instance, failure: MasticstageError) -> bool:
     if isinstance(failure, RejectedError):
         return True
     return instance.books.budget.try_retry()
 
 
-def _remaining(instance: Instance, request: Request) -> timedelta:
-    return max(request.deadline - instance.clock.elapsed(), timedelta())
-
-
 def _check_ticket(
     instance: Instance,
     request: Request,
@@ -197,130 +149,6 @@
     return member.identity if member else None
 
 
-async def _run_as_owner(
-    instance: Instance,
-    request: Request,
-    ticket: Ticket,
-) -> CallOutcome:
-    book = instance.books.owner
-    step = book.step(ticket.ticket_id)
-    if step is None:
-        return UNKNOWN
-    if step is Step.ISSUED and instance.drain.is_draining:
-        book.settle(ticket.ticket_id, NOT_RUN)
-    if book.begin(ticket.ticket_id):
-        instance.nursery.start_soon(_execute, instance, request, ticket)
-    with trio.move_on_after(_remaining(instance, request).total_seconds()):
-        while book.step(ticket.ticket_id) is not Step.SETTLED:
-            await trio.sleep(_POLL_S)
-    return book.outcome(ticket.ticket_id)
-
-
-async def _execute(
-    instance: Instance,
-    request: Request,
-    ticket: Ticket,
-) -> None:
-    """Runs a begun call to its end, whatever becomes of its caller."""
-    book = instance.books.owner
-    verdict = await _intend(instance, request, ticket)
-    if book.authorize(ticket.ticket_id, verdict):
-        outcome = await _dispatch(instance, request, ticket)
-        book.settle(ticket.ticket_id, _bounded(instance, outcome))
-    settled = book.outcome(ticket.ticket_id)
-    instance.audit.record(
-        Event.TICKET_SETTLED,
-        ticket.ticket_id,
-        settled.outcome.value,
-    )
-    await _copy_to_witness(instance, request, ticket, settled)
-
-
-async def _intend(
-    instance: Instance,
-    request: Request,
-    ticket: Ticket,
-) -> Verdict:
-    if ticket.witness is None:
-        return Verdict.ACKNOWLEDGED
-    witness = instance.views.members.find(ticket.witness.name)
-    if witness is None or witness.identity != ticket.witness:
-        return Verdict.REFUSED
-    started = instance.clock.elapsed()
-    try:
-        reply = await instance.connections.peers.intend(
-            witness.peer_address,
-            request.ticket,
-        )
-    except PeerUnreachableError:
-        return Verdict.REFUSED
-    instance.metrics.record('witness', instance.clock.elapsed() - started)
-    return decode_witness_answer(reply).verdict
-
-
-async def _dispatch(
-    instance: Instance,
-    request: Request,
-    ticket: Ticket,
-) -> CallOutcome:
-    """Sends the call once; a refused connection allows another try."""
-    for _ in range(_MAX_ATTEMPTS):
-        if request.deadline <= instance.clock.elapsed():
-            return NOT_RUN
-        try:
-            return await _dispatch_once(instance, request)
-        except RejectedError as error:
-            instance.audit.record(
-                Event.REFUSED,
-                ticket.ticket_id,
-                str(error),
-            )
-        except MasticstageError:
-            return UNKNOWN
-    return NOT_RUN
-
-
-async def _dispatch_once(instance: Instance, request: Request) -> CallOutcome:
-    placement = place(instance, request, demand_of(request, ''))
-    if placement.local is None:
-        raise NoUpstreamError(request.service)
-    upstream = placement.local.upstream
-    if not may_serve_here(instance, request, upstream):
-        raise NoUpstreamError(request.service)
-    answer = await _call_upstream(instance, request, upstream, _LATE_ANSWER)
-    return CallOutcome(Outcome.RAN, answer)
-
-
-def _bounded(instance: Instance, outcome: CallOutcome) -> CallOutcome:
-    """Drops an answer that is too large to be held for repeats."""
-    answer = outcome.answer
-    limit = instance.settings.limits.outcome_bytes
-    if answer is None or len(answer.body) <= limit:
-        return outcome
-    return CallOutcome(outcome.outcome)
-
-
-async def _copy_to_witness(
-    instance: Instance,
-    request: Request,
-    ticket: Ticket,
-    outcome: CallOutcome,
-) -> None:
-    if ticket.witness is None or outcome.outcome is Outcome.UNKNOWN:
-        return
-    witness = instance.views.members.find(ticket.witness.name)
-    if witness is None:
-        return
-    try:
-        await instance.connections.peers.copy_outcome(
-            witness.peer_address,
-            request.ticket,
-            encode_outcome(outcome),
-        )
-    except PeerUnreachableError:
-        instance.metrics.count('outcome_copy_failed')
-
-
 async def _ask_owner(
     instance: Instance,
     request: Request,
@@ -338,33 +166,10 @@
                 )
             except PeerUnreachableError:
                 instance.metrics.count('owner_unreachable')
-    answer = await _ask_witness(instance, request, ticket)
+    answer = await ask_witness(instance, request, ticket)
     return _outcome_reply(answer.outcome, ticket)
 
 
-async def _ask_witness(
-    instance: Instance,
-    request: Request,
-    ticket: Ticket,
-) -> WitnessAnswer:
-    unknown = WitnessAnswer(Verdict.REFUSED)
-    if ticket.witness is None:
-        return unknown
-    if ticket.witness == instance.identity:
-        return instance.books.witness.ask(ticket)
-    witness = instance.views.members.find(ticket.witness.name)
-    if witness is None:
-        return unknown
-    try:
-        reply = await instance.connections.peers.ask(
-            witness.peer_address,
-            request.ticket,
-        )
-    except PeerUnreachableError:
-        return unknown
-    return decode_witness_answer(reply)
-
-
 def _outcome_reply(outcome: CallOutcome, ticket: Ticket) -> Reply:
     if outcome.outcome is Outcome.NOT_RUN:
         raise SealedError(ticket.ticket_id)
--- a/src/masticstage/placement.py
+++ b/src/masticstage/placement.py
@@ -53,6 +53,13 @@
     return Placement(local, remote)
 
 
+def require_local(placement: Placement, request: Request) -> Choice:
+    """Returns the local choice, or refuses the request without one."""
+    if placement.local is None:
+        raise NoUpstreamError(request.service)
+    return placement.local
+
+
 def demand_of(request: Request, prefix: str) -> Demand:
     """Returns what a request asks of an upstream."""
     encoded = prefix.encode()
