--- a/bench/faults.py
+++ b/bench/faults.py
@@ -97,7 +97,7 @@
     """Silences all open connections of a data centre; new ones work."""
     place = random.choice(fleet.deployment.places)
     start_s = time.time()
-    pipes = fleet.pipes_of(place.data_centre)
+    pipes = fleet.network.pipes_of(place.data_centre)
     await fleet.control_links(pipes, 'hole')
     await trio.sleep(_DOWN_S)
     _disturb_all(fleet, ledger, start_s, PAUSE_S)
@@ -261,7 +261,7 @@
     mode: str,
     duration_s: float,
 ) -> None:
-    pipes = fleet.pipes_of(data_centre)
+    pipes = fleet.network.pipes_of(data_centre)
     await fleet.control_links(pipes, mode)
     start_s = time.time()
     await trio.sleep(duration_s)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -7,13 +7,11 @@
 import json
 import shutil
 import signal
-import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from random import Random
 from typing import Any, Final, final
 
 import attrs
@@ -28,20 +26,15 @@
     engine_names,
     instance_names,
 )
+from bench.network import Network
+from bench.ports import is_success, wait_for_port
 from standins.records import RecordReader
 
 SECRET: Final = 'a-secret-for-trials-only'
 _READY_TIMEOUT_S: Final = 30.0
 _STOP_TIMEOUT_S: Final = 10.0
-_LOCAL_S: Final = 0.001
 _POLL_S: Final = 0.05
 _REPLACE_S: Final = 1.0
-_LOWEST_PORT: Final = 10000
-_HIGHEST_PORT: Final = 32000
-#: Not seeded: runs side by side must not choose the same ports.
-_RANDOM: Final = Random()
-_HANDED_OUT: Final[set[int]] = set()
-_LOCAL_MBPS: Final = 10_000.0
 
 
 @attrs.define
@@ -62,29 +55,42 @@
     deployment: Deployment
     folder: Path
     options: FleetOptions
-    addresses: dict[str, str] = attrs.field(factory=dict)
-    peer_addresses: dict[str, str] = attrs.field(factory=dict)
     processes: dict[str, trio.Process] = attrs.field(factory=dict)
     commands: dict[str, list[str]] = attrs.field(factory=dict)
     version: int = 0
     leaving: set[str] = attrs.field(factory=set)
     started_ms: dict[str, int] = attrs.field(factory=dict)
+    network: Network = attrs.field(init=False)
     records: RecordReader = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Reads the records from the fleet's folder."""
+        """Plans the network and reads records from the fleet's folder."""
+        self.network = Network(self.deployment)
         self.records = RecordReader(self.folder)
 
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Where each process listens; instances for callers."""
+        return self.network.addresses
+
+    def instances(self) -> tuple[str, ...]:
+        """Returns the names of all entry instances."""
+        return self.network.instances()
+
+    def place_of(self, name: str) -> Place:
+        """Returns the data centre of an instance or upstream."""
+        return self.network.place_of(name)
+
     async def start(self) -> None:
         """Starts all processes and waits until the instances are ready."""
-        self._assign_addresses()
-        self._write_links()
+        links = json.dumps(self.network.plan_links())
+        (self.folder / 'links.json').write_text(links)
         self._plan_commands()
         async with trio.open_nursery() as nursery:
             for name in self.commands:
                 if name not in self.instances():
                     nursery.start_soon(self.spawn, name)
-        for address in (self.addresses['platform'], *self._upstreams()):
+        for address in (self.addresses['platform'], *self.network.upstreams()):
             await wait_for_port(address)
         await self.publish_directory()
         await self.publish()
@@ -107,21 +113,6 @@
                 process.kill()
                 await process.wait()
 
-    def instances(self) -> tuple[str, ...]:
-        """Returns the names of all entry instances."""
-        return tuple(
-            name
-            for place in self.deployment.places
-            for name in instance_names(place)
-        )
-
-    def place_of(self, name: str) -> Place:
-        """Returns the data centre of an instance or upstream."""
-        for place in self.deployment.places:
-            if name.startswith(place.data_centre):
-                return place
-        raise KeyError(name)
-
     def entry_urls(self, region: str | None = None) -> tuple[str, ...]:
         """Returns the caller addresses of the instances of a region."""
         return tuple(
@@ -164,7 +155,7 @@
         """Waits until an instance accepts work."""
         url = f'http://{self.addresses[name]}/readyz'
         with trio.fail_after(_READY_TIMEOUT_S):
-            while not await _is_success(url):
+            while not await is_success(url):
                 await trio.sleep(_POLL_S)
 
     def configuration(self) -> dict[str, Any]:
@@ -193,7 +184,9 @@
 
     async def publish_directory(self) -> None:
         """Publishes which instances and upstreams are live or leaving."""
-        await self.control_platform('directory', self._directory())
+        await self.control_platform(
+            'directory', self.network.describe(self.leaving, self.started_ms)
+        )
 
     async def control_platform(
         self,
@@ -229,88 +222,6 @@
         described: dict[str, Any] = response.json()
         return described
 
-    def pipes_of(self, data_centre: str) -> list[str]:
-        """Returns the pipes between a data centre and all other places."""
-        return [
-            name
-            for name in self._pipe_names()
-            if data_centre in name.split('>')
-        ]
-
-    def _assign_addresses(self) -> None:
-        names = ['platform', 'links', *self.instances()]
-        for place in self.deployment.places:
-            names.extend(engine_names(place))
-            names.extend(application_names(place))
-        ports = free_ports(len(names) + len(self.instances()))
-        for name in names:
-            self.addresses[name] = f'127.0.0.1:{next(ports)}'
-        for name in self.instances():
-            self.peer_addresses[name] = f'127.0.0.1:{next(ports)}'
-
-    def _upstreams(self) -> list[str]:
-        return [
-            address
-            for name, address in self.addresses.items()
-            if '-engine-' in name or '-app-' in name
-        ]
-
-    def _pipe_names(self) -> list[str]:
-        centres = [place.data_centre for place in self.deployment.places]
-        between = [
-            f'{here}>{there}'
-            for here in centres
-            for there in centres
-            if here != there
-        ]
-        reads = [f'{here}>platform' for here in centres]
-        return [*between, *reads, *(f'platform>{here}' for here in centres)]
-
-    def _write_links(self) -> None:
-        """Assigns the listeners and writes the settings of the links."""
-        links = [self._platform_link(place) for place in self.deployment.places]
-        links.extend(
-            self._peer_link(place, name)
-            for place in self.deployment.places
-            for name in self.instances()
-            if not name.startswith(place.data_centre)
-        )
-        settings = {
-            'control': self.addresses['links'],
-            'pipes': [self._pipe(name) for name in self._pipe_names()],
-            'links': links,
-        }
-        (self.folder / 'links.json').write_text(json.dumps(settings))
-
-    def _pipe(self, name: str) -> dict[str, Any]:
-        is_local = 'platform' in name
-        return {
-            'name': name,
-            'latency_s': _LOCAL_S if is_local else self.deployment.link_s,
-            'mbps': _LOCAL_MBPS if is_local else self.deployment.link_mbps,
-        }
-
-    def _platform_link(self, place: Place) -> dict[str, str]:
-        listen = f'127.0.0.1:{next(free_ports(1))}'
-        self.addresses[f'{place.data_centre}>platform'] = listen
-        return {
-            'listen': listen,
-            'target': self.addresses['platform'],
-            'forward': f'{place.data_centre}>platform',
-            'backward': f'platform>{place.data_centre}',
-        }
-
-    def _peer_link(self, place: Place, name: str) -> dict[str, str]:
-        listen = f'127.0.0.1:{next(free_ports(1))}'
-        there = self.place_of(name).data_centre
-        self.addresses[f'{place.data_centre}>{name}'] = listen
-        return {
-            'listen': listen,
-            'target': self.peer_addresses[name],
-            'forward': f'{place.data_centre}>{there}',
-            'backward': f'{there}>{place.data_centre}',
-        }
-
     def _plan_commands(self) -> None:
         python = sys.executable
         address = self.addresses
@@ -348,7 +259,7 @@
             f'data_centre = "{place.data_centre}"',
             f'region = "{place.region}"',
             f'caller_address = "{self.addresses[name]}"',
-            f'peer_address = "{self.peer_addresses[name]}"',
+            f'peer_address = "{self.network.peer_addresses[name]}"',
             '[platform]',
             f'address = "http://{platform}"',
             '[tokens]',
@@ -357,42 +268,11 @@
             *(f'{key} = {ms}' for key, ms in self.options.timing.items()),
             '[limits]',
             *(f'{key} = {most}' for key, most in self.options.limits.items()),
-            *self._translations(place),
+            *self.network.translations(place),
         ]
         path.write_text('\n'.join([*lines, '']))
         return path
 
-    def _translations(self, place: Place) -> Iterator[str]:
-        for name in self.instances():
-            via = self.addresses.get(f'{place.data_centre}>{name}')
-            if via is not None:
-                yield '[[translations]]'
-                yield f'address = "{self.peer_addresses[name]}"'
-                yield f'via = "{via}"'
-
-    def _directory(self) -> dict[str, Any]:
-        return {
-            'instances': [
-                {
-                    'name': name,
-                    'data_centre': self.place_of(name).data_centre,
-                    'region': self.place_of(name).region,
-                    'peer_address': self.peer_addresses[name],
-                    'caller_address': self.addresses[name],
-                }
-                for name in self.instances()
-            ],
-            'upstreams': [
-                {
-                    'name': name,
-                    'incarnation': self.started_ms.get(name, 0),
-                    'state': 'leaving' if name in self.leaving else 'live',
-                }
-                for name in self.addresses
-                if '-engine-' in name or '-app-' in name
-            ],
-        }
-
 
 @asynccontextmanager
 async def running_fleet(
@@ -412,53 +292,3 @@
     finally:
         with trio.CancelScope(shield=True):
             await fleet.stop()
-
-
-def free_ports(count: int) -> Iterator[int]:
-    """Yields ports that are free now and were not yielded before.
-
-    They lie below the range from which outgoing connections take theirs.
-    """
-    for _ in range(count):
-        yield _free_port()
-
-
-def _free_port() -> int:
-    while True:
-        port = _RANDOM.randrange(_LOWEST_PORT, _HIGHEST_PORT)
-        if port not in _HANDED_OUT and _can_bind(port):
-            _HANDED_OUT.add(port)
-            return port
-
-
-def _can_bind(port: int) -> bool:
-    with socket.socket() as tried:
-        tried.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            tried.bind(('127.0.0.1', port))
-        except OSError:
-            return False
-    return True
-
-
-async def _is_success(url: str) -> bool:
-    async with httpx.AsyncClient(trust_env=False) as client:
-        try:
-            response = await client.get(url)
-        except httpx.HTTPError:
-            return False
-    return response.is_success
-
-
-async def wait_for_port(address: str) -> None:
-    """Waits until something listens on an address."""
-    host, _, port = address.partition(':')
-    with trio.fail_after(_READY_TIMEOUT_S):
-        while True:
-            try:
-                stream = await trio.open_tcp_stream(host, int(port))
-            except OSError:
-                await trio.sleep(_POLL_S)
-            else:
-                await stream.aclose()
-                return
--- /dev/null
+++ b/bench/ports.py
@@ -0,0 +1,68 @@
+"""Free ports of this machine, and waiting for listeners."""
+
+import socket
+from collections.abc import Iterator
+from random import Random
+from typing import Final
+
+import httpx
+import trio
+
+_TIMEOUT_S: Final = 30.0
+_POLL_S: Final = 0.05
+_LOWEST_PORT: Final = 10000
+_HIGHEST_PORT: Final = 32000
+#: Not seeded: runs side by side must not choose the same ports.
+_RANDOM: Final = Random()
+_HANDED_OUT: Final[set[int]] = set()
+
+
+def free_ports(count: int) -> Iterator[int]:
+    """Yields ports that are free now and were not yielded before.
+
+    They lie below the range from which outgoing connections take theirs.
+    """
+    for _ in range(count):
+        yield _free_port()
+
+
+def _free_port() -> int:
+    while True:
+        port = _RANDOM.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+        if port not in _HANDED_OUT and _can_bind(port):
+            _HANDED_OUT.add(port)
+            return port
+
+
+def _can_bind(port: int) -> bool:
+    with socket.socket() as tried:
+        tried.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            tried.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
+
+
+async def is_success(url: str) -> bool:
+    """Tells whether a URL answers with success."""
+    async with httpx.AsyncClient(trust_env=False) as client:
+        try:
+            response = await client.get(url)
+        except httpx.HTTPError:
+            return False
+    return response.is_success
+
+
+async def wait_for_port(address: str) -> None:
+    """Waits until something listens on an address."""
+    host, _, port = address.partition(':')
+    with trio.fail_after(_TIMEOUT_S):
+        while True:
+            try:
+                stream = await trio.open_tcp_stream(host, int(port))
+            except OSError:
+                await trio.sleep(_POLL_S)
+            else:
+                await stream.aclose()
+                return
