--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,6 +21,7 @@
 UPSTREAMS: Final = 10000
 DATA_CENTRES: Final = 64
 TEAMS: Final = 3700
+SERVICES: Final = 29
 CHANGES_PER_DAY: Final = 42000
 REPLACED_PER_DAY: Final = 1240
 #: Budget of control on one instance.
@@ -53,6 +54,7 @@
     # every instance about once.
     records_per_exchange = 1 + 2 * REPLACED_PER_DAY / _DAY_S
     near_exchanges = _EXCHANGES_PER_S / 2
+    summaries = SERVICES / 2
     configuration_us = (
         slopes['configuration check'].at(UPSTREAMS)
         + slopes['team check'].slope * TEAMS
@@ -72,6 +74,12 @@
             0,
             near_exchanges * slopes['load reports'].at(near_upstreams),
         ),
+        Projection(
+            'summaries',
+            0,
+            0,
+            near_exchanges * slopes['summaries'].at(summaries),
+        ),
         Projection(
             'configuration, whole values',
             changes_per_s * configuration_us,
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -35,6 +35,8 @@
 from masticstage.upstream_table import LoadReport, UpstreamTable
 
 _REPEATS: Final = 5
+#: Load reports in one exchange, as in `masticstage.gossip`.
+_REPORTS: Final = 16
 _MICROSECONDS: Final = 1_000_000
 _GONE_AFTER: Final = timedelta(seconds=15)
 
@@ -232,7 +234,11 @@
 
 
 def _report_bytes(count: int) -> float:
-    records = [encode_report(report) for report in _reports(count)]
+    table = UpstreamTable(SystemClock())
+    reports = _reports(count)
+    table.merge(reports)
+    news = table.news([one.upstream for one in reports], _REPORTS)
+    records = [encode_report(report) for report in news]
     return float(pb.Gossip(upstreams=records).ByteSize())
 
 
@@ -240,9 +246,13 @@
     table = UpstreamTable(SystemClock())
     reports = _reports(count)
 
+    names = [report.upstream for report in reports]
+    table.merge(reports)
+
     def exchange() -> None:
+        news = table.news(names, _REPORTS)
         encoded = pb.Gossip(
-            upstreams=[encode_report(one) for one in reports],
+            upstreams=[encode_report(one) for one in news],
         ).SerializeToString()
         received = pb.Gossip.FromString(encoded)
         table.merge(decode_report(one) for one in received.upstreams)
--- a/src/masticstage/gossip.py
+++ b/src/masticstage/gossip.py
@@ -30,6 +30,8 @@
 
 #: Member records passed on in one exchange.
 _MAX_CHANGES: Final = 16
+#: Load reports passed on in one exchange; older ones are left out.
+_MAX_REPORTS: Final = 16
 #: Instances told at once about a new configuration.
 _ANNOUNCE_FANOUT: Final = 4
 _MS_PER_S: Final = 1000
@@ -253,11 +255,13 @@
 
 
 def _local_reports(instance: Instance) -> list[pb.UpstreamRecord]:
-    return [
-        encode_report(instance.views.upstreams.report(one.name))
+    names = [
+        one.name
         for _, upstreams in _local_upstreams(instance)
         for one in upstreams
     ]
+    news = instance.views.upstreams.news(names, _MAX_REPORTS)
+    return [encode_report(report) for report in news]
 
 
 def _encode_summary(summary: Summary) -> pb.ServiceSummary:
--- a/src/masticstage/upstream_table.py
+++ b/src/masticstage/upstream_table.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Iterable
 from datetime import timedelta
+from heapq import nlargest
 from typing import Final, final
 
 import attrs
@@ -85,6 +86,12 @@
         state = self.state(name)
         return attrs.evolve(state.report, leaving=state.is_leaving)
 
+    def news(self, names: Iterable[str], limit: int) -> list[LoadReport]:
+        """Returns reports to pass on: leaving upstreams, then the newest."""
+        states = [self.state(name) for name in names]
+        chosen = nlargest(limit, states, key=_by_news)
+        return [self.report(state.report.upstream) for state in chosen]
+
     def expected_wait_s(self, name: str, slots: int) -> float:
         """Returns how long new work would wait for a slot, in seconds."""
         ahead = self.backlog(name) + 1 - slots
@@ -179,3 +186,7 @@
                 report.incarnation,
             )
         return state.is_leaving and not was_leaving
+
+
+def _by_news(state: UpstreamState) -> tuple[bool, timedelta]:
+    return (state.is_leaving, state.received_at)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -76,6 +76,16 @@
     assert not table.is_leaving('engine-0')
 
 
+def test_news_are_bounded_and_leaving_goes_first():
+    _, table = build_router()
+    names = [f'engine-{number}' for number in range(50)]
+    table.merge(LoadReport(name, 1, 1, 0, 0) for name in names)
+    table.merge([LoadReport('engine-7', 1, 1, 0, 0, leaving=True)])
+    news = table.news(names, 16)
+    assert len(news) == 16
+    assert news[0].leaving
+
+
 def test_no_usable_upstream_is_no_choice():
     router, table = build_router()
     for upstream in build_upstreams(2):
