--- a/src/masticstage/composition.py
+++ b/src/masticstage/composition.py
@@ -1,31 +1,24 @@
-"""Composition root: builds an instance and runs it until it has drained."""
+"""Composition root: builds an instance and wires its parts."""
 
-import signal
 from datetime import timedelta
 from random import Random
 
 import trio
-import trio_asyncio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from masticstage.admission import Admission
-from masticstage.audit import Audit, Event
-from masticstage.caller_api import create_app
+from masticstage.audit import Audit
 from masticstage.clock import (
     Clock,
     PauseDetector,
-    SystemClock,
     milliseconds,
     to_milliseconds,
 )
 from masticstage.drain import Drain
-from masticstage.gossip import exchange_with, run_gossip
 from masticstage.instance import Books, Connections, Instance, Views
 from masticstage.membership import Member, MemberTable
 from masticstage.metrics import Metrics
 from masticstage.peer_client import PeerClient
-from masticstage.peer_server import start_peer_server, stop_peer_server
+from masticstage.peer_tls import channel_credentials
 from masticstage.platform_client import PlatformClient
 from masticstage.quarantine import Quarantine, SuspectRuns
 from masticstage.retries import RetryBudget
@@ -37,41 +30,8 @@
 from masticstage.tokens import MemberId, TokenSigner
 from masticstage.upstream_client import UpstreamClient
 from masticstage.upstream_table import UpstreamTable
-from masticstage.watches import (
-    read_directory,
-    watch_configuration,
-    watch_directory,
-    watch_loads,
-    watch_pauses,
-)
 
 _PAUSE_THRESHOLD = timedelta(seconds=2)
-_CLOSE_GRACE_S = 1.0
-_DRAIN_POLL_S = 0.1
-#: Least length of a drain, in which callers hear of it and turn elsewhere.
-_MIN_DRAIN_S = 1.0
-_IDLE_S = 75
-
-
-async def run_instance(settings: Settings) -> None:
-    """Runs one instance until a signal has made it drain and stop."""
-    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
-        instance = build_instance(settings, SystemClock(), nursery)
-        instance.audit.record(Event.STARTED, instance.identity.name)
-        server = await start_peer_server(instance)
-        nursery.start_soon(_watch_signals, instance)
-        await read_directory(instance)
-        for task in (
-            run_gossip,
-            watch_configuration,
-            watch_directory,
-            watch_loads,
-            watch_pauses,
-        ):
-            nursery.start_soon(task, instance)
-        await _serve_callers(instance)
-        await stop_peer_server(server, _CLOSE_GRACE_S)
-        nursery.cancel_scope.cancel()
 
 
 def build_instance(
@@ -92,7 +52,12 @@
         random,
         TokenSigner(settings.tokens.secrets),
         Connections(
-            PeerClient(peer_timeout, nursery, _translations(settings)),
+            PeerClient(
+                peer_timeout,
+                nursery,
+                _translations(settings),
+                channel_credentials(settings.peer_tls),
+            ),
             UpstreamClient(silence),
             PlatformClient(settings.platform.address),
         ),
@@ -146,55 +111,3 @@
         Router(upstreams, random),
         SummaryTable(clock),
     )
-
-
-async def _watch_signals(instance: Instance) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            instance.drain.request()
-
-
-async def _serve_callers(instance: Instance) -> None:
-    config = Config()
-    config.bind = [instance.settings.instance.caller_address]
-    config.graceful_timeout = _CLOSE_GRACE_S
-    config.keep_alive_timeout = _IDLE_S
-    config.h11_max_incomplete_size = instance.settings.limits.header_bytes
-    config.errorlog = None
-    await serve(
-        create_app(instance),
-        config,
-        shutdown_trigger=lambda: _drained(instance),
-    )
-
-
-async def _drained(instance: Instance) -> None:
-    """Returns when a drain has been requested and has come to its end."""
-    await instance.drain.wait_started()
-    instance.audit.record(Event.DRAINING, instance.identity.name)
-    instance.views.members.leave()
-    for member in instance.views.members.others():
-        instance.nursery.start_soon(exchange_with, instance, member)
-    drain_s = milliseconds(instance.settings.timing.drain_ms).total_seconds()
-    with trio.move_on_after(drain_s):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_forced, instance, nursery)
-            await trio.sleep(_MIN_DRAIN_S)
-            while _is_busy(instance):
-                await trio.sleep(_DRAIN_POLL_S)
-            nursery.cancel_scope.cancel()
-
-
-async def _cancel_when_forced(
-    instance: Instance,
-    nursery: trio.Nursery,
-) -> None:
-    await instance.drain.wait_forced()
-    nursery.cancel_scope.cancel()
-
-
-def _is_busy(instance: Instance) -> bool:
-    books = instance.books
-    return bool(
-        books.streams.total or books.calls.total or books.owner.in_flight,
-    )
--- a/src/masticstage/instance_program.py
+++ b/src/masticstage/instance_program.py
@@ -8,8 +8,8 @@
 from returns.result import Failure, Success
 
 from masticstage.check_program import print_faults
-from masticstage.composition import run_instance
 from masticstage.exits import Exit
+from masticstage.lifecycle import run_instance
 from masticstage.logs import configure_logs
 from masticstage.settings import load_settings
 
--- a/src/masticstage/peer_client.py
+++ b/src/masticstage/peer_client.py
@@ -14,6 +14,7 @@
 from masticstage.bridge import from_trio
 from masticstage.exceptions import PeerUnreachableError
 from masticstage.peer_pb2_grpc import PeerStub
+from masticstage.peer_tls import NAME_OPTION
 
 if TYPE_CHECKING:
     from masticstage.peer_pb2_grpc import PeerAsyncStub
@@ -55,6 +56,7 @@
     _timeout: timedelta
     _nursery: trio.Nursery
     _translations: Mapping[str, str] = attrs.field(factory=dict)
+    _credentials: grpc.ChannelCredentials | None = None
     _channels: dict[str, grpc.aio.Channel] = attrs.field(factory=dict)
 
     async def exchange(self, address: str, gossip: pb.Gossip) -> pb.Gossip:
@@ -169,13 +171,19 @@
     def _stub(self, address: str) -> 'PeerAsyncStub':
         channel = self._channels.get(address)
         if channel is None:
-            channel = grpc.aio.insecure_channel(
-                self._translations.get(address, address),
-                options=CHANNEL_OPTIONS,
-            )
+            channel = self._open(self._translations.get(address, address))
             self._channels[address] = channel
         return PeerStub(channel)
 
+    def _open(self, address: str) -> grpc.aio.Channel:
+        if self._credentials is None:
+            return grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+        return grpc.aio.secure_channel(
+            address,
+            self._credentials,
+            options=(*CHANNEL_OPTIONS, NAME_OPTION),
+        )
+
     async def _call(
         self,
         address: str,
--- a/src/masticstage/peer_server.py
+++ b/src/masticstage/peer_server.py
@@ -23,6 +23,7 @@
     PeerServicer,
     add_PeerServicer_to_server,
 )
+from masticstage.peer_tls import server_credentials
 from masticstage.relays import decode_request, write_reply
 from masticstage.results import unwrap_or_raise
 from masticstage.serving import refuse, serve
@@ -150,7 +151,12 @@
     """Starts serving other instances at the address in the settings."""
     server = grpc.aio.server(options=SERVER_OPTIONS)
     add_PeerServicer_to_server(PeerService(instance), server)
-    server.add_insecure_port(instance.settings.instance.peer_address)
+    address = instance.settings.instance.peer_address
+    credentials = server_credentials(instance.settings.peer_tls)
+    if credentials is None:
+        server.add_insecure_port(address)
+    else:
+        server.add_secure_port(address, credentials)
     await from_trio(server.start)
     return server
 
--- a/src/masticstage/settings_schema.py
+++ b/src/masticstage/settings_schema.py
@@ -64,6 +64,23 @@
     via: str
 
 
+@attrs.frozen
+class PeerTlsSettings:
+    """PEM files for mutual TLS between instances; empty for none."""
+
+    certificate: str = ''
+    key: str = ''
+    authority: str = ''
+
+
+@attrs.frozen
+class CallerTlsSettings:
+    """PEM files for TLS towards callers; empty for none."""
+
+    certificate: str = ''
+    key: str = ''
+
+
 @attrs.frozen
 class Settings:
     """Settings of one instance process."""
@@ -74,3 +91,5 @@
     limits: LimitSettings = attrs.field(factory=LimitSettings)
     timing: TimingSettings = attrs.field(factory=TimingSettings)
     translations: tuple[Translation, ...] = ()
+    peer_tls: PeerTlsSettings = attrs.field(factory=PeerTlsSettings)
+    caller_tls: CallerTlsSettings = attrs.field(factory=CallerTlsSettings)
