Bound the list of entries

Cause: /v1/entries listed every live instance, 2,500 at the expected size. Change: 24 near and 24 other ones, drawn at random, so that callers spread.

--- a/src/masticstage/instance.py
+++ b/src/masticstage/instance.py
@@ -4,7 +4,7 @@
 """
 
 from random import Random
-from typing import final
+from typing import Final, final
 
 import attrs
 import trio
@@ -30,6 +30,10 @@
 from masticstage.upstream_client import UpstreamClient
 from masticstage.upstream_table import UpstreamTable
 
+#: Entries that are listed at most: the nearest ones, and others.
+MAX_NEAR_ENTRIES: Final = 24
+MAX_FAR_ENTRIES: Final = 24
+
 
 @final
 @attrs.frozen
@@ -113,14 +117,20 @@
         return self.catalogue()
 
     def entries(self) -> tuple[Member, ...]:
-        """Live instances, this one included, own data centre first."""
+        """Live instances, this one included, own data centre first.
+
+        In a large fleet they are a random choice, mostly of the nearest.
+        """
         known = [self.views.members.own, *self.views.members.others()]
         live = [member for member in known if not member.liveness]
-        return tuple(sorted(live, key=self._by_distance))
+        drawn = self.random.sample(live, len(live))
+        near = sorted(drawn, key=self._by_distance)[:MAX_NEAR_ENTRIES]
+        far = [member for member in drawn if member not in near]
+        chosen = (*near, *far[:MAX_FAR_ENTRIES])
+        return tuple(sorted(chosen, key=self._by_distance))
 
-    def _by_distance(self, member: Member) -> tuple[bool, bool, str]:
+    def _by_distance(self, member: Member) -> tuple[bool, bool]:
         return (
             member.data_centre != self.data_centre,
             member.region != self.settings.instance.region,
-            member.identity.name,
         )
