--- a/bench/callers.py
+++ b/bench/callers.py
@@ -129,7 +129,6 @@
         text=answer.text,
         stream_id=answer.stream_id,
         first_s=arrivals[0],
-        gaps_s=gaps,
         resumes=answer.resumes,
         restarts=answer.restarts,
         longest_stall_s=max(gaps, default=0),
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -206,14 +206,6 @@
         async with httpx.AsyncClient(trust_env=False) as client:
             await client.post(url, json={'pipes': pipes, 'mode': mode})
 
-    async def link_bytes(self) -> dict[str, int]:
-        """Returns the bytes that each pipe has carried."""
-        url = f'http://{self.addresses["links"]}/bytes'
-        async with httpx.AsyncClient(trust_env=False) as client:
-            response = await client.get(url)
-        sent: dict[str, int] = response.json()
-        return sent
-
     async def status(self, name: str, about: str = '') -> dict[str, Any]:
         """Returns what an instance believes."""
         url = f'http://{self.addresses[name]}/v1/status'
--- a/bench/history.py
+++ b/bench/history.py
@@ -36,7 +36,6 @@
     started_s: float = 0
     first_s: float = 0
     ended_s: float = 0
-    gaps_s: tuple[float, ...] = ()
     resumes: int = 0
     restarts: int = 0
     longest_stall_s: float = 0
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -5,7 +5,7 @@
 """
 
 import heapq
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from datetime import timedelta
 from functools import partial
@@ -78,7 +78,6 @@
     is_up: bool = True
     queue: list[Waiting] = attrs.field(factory=list)
     cache: OrderedDict[int, None] = attrs.field(factory=OrderedDict)
-    backlogs: deque[tuple[float, int]] = attrs.field(factory=deque)
 
     @property
     def backlog(self) -> int:
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -40,11 +40,6 @@
     kind: str
     body: dict[str, Any]
 
-    @property
-    def is_model(self) -> bool:
-        """Whether a model answers it."""
-        return 'messages' in self.body
-
     def encode(self) -> bytes:
         """Returns the body as the caller sends it."""
         return json.dumps(
--- a/src/masticstage/exceptions.py
+++ b/src/masticstage/exceptions.py
@@ -287,11 +287,3 @@
     source: str
     key: str
     expected: str
-
-
-@attrs.define(eq=False)
-class InvalidFileError(MasticstageError):
-    """A settings or configuration file has faults; all are listed."""
-
-    code = 'invalid-file'
-    faults: tuple[Fault, ...]
--- a/src/masticstage/generations.py
+++ b/src/masticstage/generations.py
@@ -1,6 +1,7 @@
 """The generations of one model answer at this instance, in order."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
 from typing import Final, final
 from uuid import uuid4
 
@@ -71,19 +72,20 @@
             self.answer,
         )
 
-    async def events(self, run: EngineRun) -> AsyncIterator[bytes]:
+    async def events(self, run: EngineRun) -> AsyncGenerator[bytes]:
         """Yields the events of the answer until it is whole or has failed."""
         streams = self._instance.books.streams
         streams.open(self._request.team.name)
         try:
-            async for block in self._all_runs(run):
-                yield block
+            async with aclosing(self._all_runs(run)) as blocks:
+                async for block in blocks:
+                    yield block
         except MasticstageError as error:
             yield encode_failure(self._problem(error))
         finally:
             streams.close(self._request.team.name)
 
-    async def _all_runs(self, run: EngineRun) -> AsyncIterator[bytes]:
+    async def _all_runs(self, run: EngineRun) -> AsyncGenerator[bytes]:
         while True:
             yield self._mark(run)
             reader, blocks = start_reader(self._instance, run)
--- a/src/masticstage/gossip.py
+++ b/src/masticstage/gossip.py
@@ -22,8 +22,10 @@
 from masticstage.peer_messages import (
     decode_member,
     decode_report,
+    decode_summary,
     encode_member,
     encode_report,
+    encode_summary,
 )
 from masticstage.rollout import Adoption, Decision, Offer
 from masticstage.summaries import Summary
@@ -113,7 +115,7 @@
             for one in instance.books.quarantine.strikes()
         ],
         summaries=[
-            _encode_summary(summary) for summary in _own_summaries(instance)
+            encode_summary(summary) for summary in _own_summaries(instance)
         ],
         is_joining=is_joining,
     )
@@ -132,7 +134,7 @@
     for strike in gossip.strikes:
         _take_strike(instance, strike)
     instance.views.summaries.merge(
-        _decode_summary(one) for one in gossip.summaries
+        decode_summary(one) for one in gossip.summaries
     )
     _compare_configuration(instance, gossip)
 
@@ -264,28 +266,6 @@
     return [encode_report(report) for report in news]
 
 
-def _encode_summary(summary: Summary) -> pb.ServiceSummary:
-    return pb.ServiceSummary(
-        data_centre=summary.data_centre,
-        service=summary.service,
-        reported_at_ms=summary.reported_ms,
-        wait_ms=summary.wait_ms,
-        free_slots=summary.free_slots,
-        slot_us=summary.slot_us,
-    )
-
-
-def _decode_summary(message: pb.ServiceSummary) -> Summary:
-    return Summary(
-        message.data_centre,
-        message.service,
-        message.reported_at_ms,
-        message.wait_ms,
-        message.free_slots,
-        message.slot_us,
-    )
-
-
 def _compare_configuration(instance: Instance, gossip: pb.Gossip) -> None:
     mark = gossip.configuration
     rollout = instance.views.rollout
--- a/src/masticstage/models.py
+++ b/src/masticstage/models.py
@@ -1,6 +1,7 @@
 """Model requests: start, transfer and resumption of streamed answers."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
 from http import HTTPStatus
 
 import attrs
@@ -29,7 +30,7 @@
     require_local,
 )
 from masticstage.quarantine import fingerprint_request
-from masticstage.relays import forward
+from masticstage.relays import forward, read_whole
 from masticstage.requests import EVENT_STREAM_TYPE, Reply, Request
 from masticstage.residency import allowed_data_centres, may_transfer
 from masticstage.routing import Choice, Demand
@@ -92,6 +93,7 @@
             raise
         return None
     if reply.status >= HTTPStatus.BAD_REQUEST and placement.local is not None:
+        await read_whole(reply)
         return None
     return _resumable(reply)
 
@@ -170,11 +172,12 @@
 
 
 async def _ending_with_resume(
-    chunks: AsyncIterator[bytes],
-) -> AsyncIterator[bytes]:
+    chunks: AsyncGenerator[bytes],
+) -> AsyncGenerator[bytes]:
     try:
-        async for chunk in chunks:
-            yield chunk
+        async with aclosing(chunks) as opened:
+            async for chunk in opened:
+                yield chunk
     except PeerUnreachableError:
         yield RESUME
 
@@ -232,5 +235,5 @@
     return _stream_reply(generation.events(generation.next_run(choice)))
 
 
-def _stream_reply(chunks: AsyncIterator[bytes]) -> Reply:
+def _stream_reply(chunks: AsyncGenerator[bytes]) -> Reply:
     return Reply(HTTPStatus.OK, EVENT_STREAM_TYPE, chunks=chunks)
--- a/src/masticstage/owners.py
+++ b/src/masticstage/owners.py
@@ -156,6 +156,18 @@
         instance.metrics.count('outcome_copy_failed')
 
 
+def ask_as_witness(instance: Instance, ticket: Ticket) -> WitnessAnswer:
+    """Tells what this witness holds of a ticket; a seal is audited."""
+    answer = instance.books.witness.ask(ticket)
+    if answer.verdict is Verdict.SEALED:
+        instance.audit.record(
+            Event.TICKET_SEALED,
+            ticket.ticket_id,
+            f'owner {ticket.owner.name} did not answer for it',
+        )
+    return answer
+
+
 async def ask_witness(
     instance: Instance,
     request: Request,
@@ -166,7 +178,7 @@
     if ticket.witness is None:
         return unknown
     if ticket.witness == instance.identity:
-        return instance.books.witness.ask(ticket)
+        return ask_as_witness(instance, ticket)
     witness = instance.views.members.find(ticket.witness.name)
     if witness is None:
         return unknown
--- a/src/masticstage/peer_client.py
+++ b/src/masticstage/peer_client.py
@@ -1,6 +1,12 @@
 """Calls to other instances over gRPC."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Mapping,
+)
 from datetime import timedelta
 from functools import partial
 from typing import TYPE_CHECKING, Final, TypeVar, final
@@ -127,7 +133,7 @@
         self,
         address: str,
         request: pb.RelayRequest,
-    ) -> AsyncIterator[pb.RelayChunk]:
+    ) -> AsyncGenerator[pb.RelayChunk]:
         """Forwards a request; yields its head and then its body.
 
         The iterator must be closed (`aclosing`) by whoever opened it.
--- a/src/masticstage/peer_messages.py
+++ b/src/masticstage/peer_messages.py
@@ -6,6 +6,7 @@
 from masticstage import peer_pb2 as pb
 from masticstage.membership import Liveness, Member
 from masticstage.outcomes import Answer, CallOutcome, Outcome
+from masticstage.summaries import Summary
 from masticstage.tickets import Verdict, WitnessAnswer
 from masticstage.tokens import MemberId
 from masticstage.upstream_table import LoadReport
@@ -86,6 +87,30 @@
     )
 
 
+def encode_summary(summary: Summary) -> pb.ServiceSummary:
+    """Returns the message form of a summary."""
+    return pb.ServiceSummary(
+        data_centre=summary.data_centre,
+        service=summary.service,
+        reported_at_ms=summary.reported_ms,
+        wait_ms=summary.wait_ms,
+        free_slots=summary.free_slots,
+        slot_us=summary.slot_us,
+    )
+
+
+def decode_summary(message: pb.ServiceSummary) -> Summary:
+    """Returns the summary of a message."""
+    return Summary(
+        message.data_centre,
+        message.service,
+        message.reported_at_ms,
+        message.wait_ms,
+        message.free_slots,
+        message.slot_us,
+    )
+
+
 def encode_outcome(outcome: CallOutcome) -> pb.Outcome:
     """Returns the message form of an outcome."""
     message = pb.Outcome(kind=_KINDS[outcome.outcome])
--- a/src/masticstage/relays.py
+++ b/src/masticstage/relays.py
@@ -1,6 +1,7 @@
 """Forwarding of requests to instances of other data centres."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import aclosing
 from datetime import timedelta
 from typing import Final
 
@@ -17,7 +18,7 @@
 )
 from masticstage.instance import Instance
 from masticstage.membership import Member
-from masticstage.requests import TICKET_TARGET, Reply, Request
+from masticstage.requests import Reply, Request
 from masticstage.results import unwrap_or_raise
 from masticstage.tokens import Session
 
@@ -123,11 +124,6 @@
     )
 
 
-def is_ticket_request(message: pb.RelayRequest) -> bool:
-    """Tells whether an instance asks for a ticket in a caller's name."""
-    return message.target == TICKET_TARGET
-
-
 async def write_reply(
     reply: Reply,
     write: Callable[[pb.RelayChunk], Awaitable[None]],
@@ -143,8 +139,10 @@
         body=reply.body,
     )
     await write(head)
-    if reply.chunks is not None:
-        async for chunk in reply.chunks:
+    if reply.chunks is None:
+        return
+    async with aclosing(reply.chunks) as chunks:
+        async for chunk in chunks:
             await write(pb.RelayChunk(body=chunk))
 
 
@@ -155,12 +153,13 @@
 
 async def _bodies(
     head: pb.RelayChunk,
-    chunks: AsyncIterator[pb.RelayChunk],
-) -> AsyncIterator[bytes]:
+    chunks: AsyncGenerator[pb.RelayChunk],
+) -> AsyncGenerator[bytes]:
     if head.body:
         yield head.body
-    async for chunk in chunks:
-        yield chunk.body
+    async with aclosing(chunks) as opened:
+        async for chunk in opened:
+            yield chunk.body
 
 
 def _patience(message: pb.RelayRequest, kind: Kind) -> timedelta:
--- a/src/masticstage/requests.py
+++ b/src/masticstage/requests.py
@@ -1,6 +1,6 @@
 """A caller's request and its reply, independent of how they arrived."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from datetime import timedelta
 from typing import Final
 
@@ -59,5 +59,5 @@
     status: int
     content_type: str
     body: bytes = b''
-    chunks: AsyncIterator[bytes] | None = None
+    chunks: AsyncGenerator[bytes] | None = None
     headers: tuple[tuple[str, str], ...] = ()
--- a/src/masticstage/rollout.py
+++ b/src/masticstage/rollout.py
@@ -5,7 +5,7 @@
 from typing import final
 
 import attrs
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from masticstage.clock import Clock
 from masticstage.configuration import Catalogue, check_configuration
@@ -105,9 +105,3 @@
         self._catalogue = catalogue
         self._confirmed_at = self._clock.elapsed()
         return Decision(adoption, catalogue.version)
-
-
-def require_catalogue(rollout: Rollout) -> Result[Catalogue, None]:
-    """Returns the configuration in force, or fails before the first one."""
-    catalogue = rollout.catalogue
-    return Success(catalogue) if catalogue else Failure(None)
--- a/src/masticstage/routing.py
+++ b/src/masticstage/routing.py
@@ -151,11 +151,6 @@
         if len(self._last_upstream) > PREFIX_MEMORY:
             self._last_upstream.popitem(last=False)
 
-    def forget_prefix(self, service: str, prefix: int, upstream: str) -> None:
-        """Drops a belief after the upstream has evicted the prefix."""
-        if self._last_upstream.get((service, prefix)) == upstream:
-            self._last_upstream.pop((service, prefix))
-
     def _usable(
         self,
         upstreams: tuple[Upstream, ...],
--- /dev/null
+++ b/tests/test_models.py
@@ -0,0 +1,74 @@
+"""Tests of model requests, with fakes around an instance."""
+
+from datetime import timedelta
+
+import trio
+
+from masticstage.models import answer_model
+from masticstage.serving import serve
+from tests.builders import (
+    build_document,
+    build_event,
+    build_request,
+)
+from tests.fakes import add_member, build_test_instance, report_leaving
+
+
+def run_with_instance(test):
+    async def run():
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                instance = build_test_instance(nursery, build_document())
+                await test(instance)
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def test_abandoned_answer_is_not_counted_as_open():
+    async def check(instance):
+        events = [build_event(index) for index in range(100)]
+        instance.connections.upstreams.starts = [events]
+        request = build_request(instance.catalogue())
+        reply = await answer_model(instance, request)
+        await anext(reply.chunks)
+        assert instance.books.streams.total == 1
+        await reply.chunks.aclose()
+        assert not instance.books.streams.total
+
+    run_with_instance(check)
+
+
+def test_request_bound_to_another_home_is_refused():
+    async def check(instance):
+        south = instance.catalogue().teams['team-south']
+        request = build_request(instance.catalogue(), 'private', team=south)
+        reply = await serve(instance, request)
+        assert reply.status == 421
+        assert not instance.connections.upstreams.started
+
+    run_with_instance(check)
+
+
+def test_forwarded_request_is_not_sent_on():
+    async def check(instance):
+        add_member(instance, 'b-0', 'b')
+        for number in range(2):
+            report_leaving(instance, f'a-model-{number}')
+        request = build_request(instance.catalogue(), path=('b',))
+        reply = await serve(instance, request)
+        assert reply.status == 503
+        assert not instance.connections.peers.relayed
+
+    run_with_instance(check)
+
+
+def test_paused_instance_refuses_until_it_has_refreshed():
+    async def check(instance):
+        request = build_request(instance.catalogue())
+        instance.clock.advance(timedelta(seconds=10))
+        reply = await serve(instance, request)
+        assert reply.status == 503
+        assert b'not-ready' in reply.body
+
+    run_with_instance(check)
