--- a/bench/measure.py
+++ b/bench/measure.py
@@ -39,6 +39,7 @@
 _FAULT_S: Final = 60.0
 _HEAL_S: Final = 120.0
 _FREEZE_S: Final = 30.0
+_WINDOW_S: Final = 60.0
 _STREAMS: Final = (100, 200, 300)
 
 Build = Callable[[World, Random], Route]
@@ -150,6 +151,8 @@
         'first_p50_s': _quantile(waits_s, 0.5),
         'first_p99_s': _quantile(waits_s, 0.99),
         'first_p999_s': _quantile(waits_s, 0.999),
+        'return_p99_s': _window_p99_s(served, _HEAL_S),
+        'settled_p99_s': _window_p99_s(served, _HEAL_S + _WINDOW_S),
         'answer_p99_s': _quantile(answers_s, 0.99),
         'cross_region_mb': sent / 1_000_000,
         'sent_away_share': away / max(len(served), 1),
@@ -159,6 +162,16 @@
     }
 
 
+def _window_p99_s(served: list[Served], start_s: float) -> float:
+    """Returns the tail of the requests that arrived in one minute."""
+    waits_s = sorted(
+        _first_token_s(one)
+        for one in served
+        if start_s <= one.arrival.at_s < start_s + _WINDOW_S
+    )
+    return _quantile(waits_s, 0.99)
+
+
 def _first_token_s(served: Served) -> float:
     return (served.first_s or 0) - served.arrival.at_s
 
