--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -21,7 +21,7 @@
     TokenSettings,
 )
 from masticstage.upstream_table import LoadReport
-from tests.builders import build_member
+from tests.builders import build_document, build_member
 
 SECRET = 'a-secret-for-tests'
 
@@ -147,3 +147,16 @@
     """Tells an instance that an upstream is leaving."""
     report = LoadReport(upstream, 1, 1, 0, 0, leaving=True)
     instance.views.upstreams.merge([report])
+
+
+def run_with_instance(test) -> None:
+    """Runs a test coroutine with an instance, for ten seconds at most."""
+
+    async def run():
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                instance = build_test_instance(nursery, build_document())
+                await test(instance)
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -4,7 +4,6 @@
 from datetime import timedelta
 
 import attrs
-import trio
 
 from masticstage import peer_pb2 as pb
 from masticstage.exceptions import UpstreamFailedError, UpstreamRefusedError
@@ -13,24 +12,13 @@
 from masticstage.requests import TICKET_TARGET
 from masticstage.serving import serve
 from masticstage.tickets import Verdict, WitnessAnswer
-from tests.builders import build_call, build_document, build_ticket
-from tests.fakes import add_member, build_test_instance
+from tests.builders import build_call, build_ticket
+from tests.fakes import add_member, run_with_instance
 
 ACKNOWLEDGED = pb.WitnessReply.ACKNOWLEDGED
 SEALED = pb.WitnessReply.SEALED
 
 
-def run_with_instance(test):
-    async def run():
-        with trio.fail_after(10):
-            async with trio.open_nursery() as nursery:
-                instance = build_test_instance(nursery, build_document())
-                await test(instance)
-                nursery.cancel_scope.cancel()
-
-    trio.run(run)
-
-
 async def take_ticket(instance):
     request = build_call(instance.catalogue(), 'once')
     asked = attrs.evolve(request, target=TICKET_TARGET)
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -2,27 +2,13 @@
 
 from datetime import timedelta
 
-import trio
-
 from masticstage.models import answer_model
 from masticstage.serving import serve
 from tests.builders import (
-    build_document,
     build_event,
     build_request,
 )
-from tests.fakes import add_member, build_test_instance, report_leaving
-
-
-def run_with_instance(test):
-    async def run():
-        with trio.fail_after(10):
-            async with trio.open_nursery() as nursery:
-                instance = build_test_instance(nursery, build_document())
-                await test(instance)
-                nursery.cancel_scope.cancel()
-
-    trio.run(run)
+from tests.fakes import add_member, report_leaving, run_with_instance
 
 
 def test_abandoned_answer_is_not_counted_as_open():
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -19,29 +19,17 @@
 from masticstage.upstream_table import UpstreamTable
 from tests.builders import (
     build_call,
-    build_document,
     build_end,
     build_event,
     build_request,
 )
-from tests.fakes import add_member, build_test_instance
+from tests.fakes import add_member, run_with_instance
 
 
 async def _read(reply):
     return b''.join([chunk async for chunk in reply.chunks])
 
 
-def _run_with_instance(test):
-    async def run():
-        with trio.fail_after(10):
-            async with trio.open_nursery() as nursery:
-                instance = build_test_instance(nursery, build_document())
-                await test(instance)
-                nursery.cancel_scope.cancel()
-
-    trio.run(run)
-
-
 def test_body_in_the_head_of_a_forwarded_reply_is_kept():
     async def check(instance):
         member = add_member(instance, 'b-0', 'b')
@@ -51,7 +39,7 @@
         reply = await read_whole(await forward(instance, request, member))
         assert reply.body == b'whole'
 
-    _run_with_instance(check)
+    run_with_instance(check)
 
 
 def test_refused_reconnection_counts_as_a_crash():
@@ -64,7 +52,7 @@
         assert b'urn:masticstage:quarantined' in text
         assert len(upstreams.started) == 2
 
-    _run_with_instance(check)
+    run_with_instance(check)
 
 
 def test_failure_after_a_run_never_says_not_run():
@@ -77,7 +65,7 @@
         failure = text.rpartition(b'event: error\ndata: ')[2]
         assert json.loads(failure)['outcome'] == 'unknown'
 
-    _run_with_instance(check)
+    run_with_instance(check)
 
 
 def test_restarted_answer_has_a_new_stream_id():
@@ -94,7 +82,7 @@
         assert [mark['answer'] for mark in marks] == [1, 2]
         assert marks[0]['stream_id'] != marks[1]['stream_id']
 
-    _run_with_instance(check)
+    run_with_instance(check)
 
 
 def test_model_requests_fill_the_retry_budget():
@@ -109,7 +97,7 @@
             await _read(await answer_model(instance, request))
         assert budget.try_retry()
 
-    _run_with_instance(check)
+    run_with_instance(check)
 
 
 def test_caller_is_asked_to_resume_behind_a_silent_link():
@@ -128,7 +116,7 @@
         text = await _read(await answer_model(instance, request))
         assert text == build_event(0) + RESUME
 
-    _run_with_instance(check)
+    run_with_instance(check)
 
 
 def test_ticketed_call_that_is_refused_is_not_called_not_run():
@@ -137,7 +125,7 @@
         reply = await serve(instance, request)
         assert json.loads(reply.body)['outcome'] == 'unknown'
 
-    _run_with_instance(check)
+    run_with_instance(check)
 
 
 def test_first_dispatch_at_the_time_of_the_last_report():
