Say not_run for a ticketed call only with a seal, wherever it is refused

Trace: the owner ran the call and was paused; on waking it refused the repeat as not-ready with outcome not_run, before the request reached the code that turns such refusals into ticket-undecided; the caller took a new ticket. Ruled out: a second dispatch of one ticket (each ticket ran once; the first settled as ran). Change: the conversion stands in the one function that makes problem replies, for callers' and forwarded requests alike; the reference caller takes only the code sealed as proof. Tests for both edges and the caller. The proofs' own checks: make prove-checks runs seven broken instances.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 CODE := src standins bench tools tests
 
-.PHONY: setup run serve test check unit prove measure capacity generate format clean
+.PHONY: setup run serve test check unit prove prove-checks measure capacity generate format clean
 
 setup: $(READY)
 
@@ -41,6 +41,10 @@
 prove: $(READY)
 	$(BIN)/python -m bench.prove --seed=$(SEED)
 
+# The proofs must catch instances with a broken decision.
+prove-checks: $(READY)
+	$(BIN)/python -m bench.prove_checks --seed=$(SEED)
+
 # Cost, tail latency and share sent away, as JSON lines and a table.
 measure: $(READY)
 	$(BIN)/python -m bench.measure --seed=$(SEED)
--- /dev/null
+++ b/bench/broken.py
@@ -0,0 +1,118 @@
+"""An instance with one deliberately broken decision, to test the proofs.
+
+Run as a program in place of `masticstage.instance_program`; the variant is
+the first argument.
+"""
+
+import sys
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Any, Final
+
+from masticstage import instance_program, lifecycle, placement
+from masticstage.configuration_schema import Kind, Team
+from masticstage.exceptions import NotReadyError
+from masticstage.instance import Instance
+from masticstage.outcomes import NOT_RUN
+from masticstage.rollout import Decision, Offer, Rollout
+from masticstage.tickets import (
+    OwnerBook,
+    Step,
+    Verdict,
+    WitnessAnswer,
+    WitnessBook,
+)
+from masticstage.tokens import Ticket
+from masticstage.upstream_table import UpstreamState
+
+_STALE_S: Final = 1.0
+
+
+def _rerun_repeats() -> None:
+    """Runs a call again whenever it is repeated."""
+
+    def begin(book: OwnerBook, ticket_id: str) -> bool:
+        entry = book._entries[ticket_id]
+        entry.step = Step.INTENDED
+        return True
+
+    _replace(OwnerBook, 'begin', begin)
+
+
+def _seal_what_is_held() -> None:
+    """Says `not_run` as a witness although it holds an intent."""
+
+    def ask(_: WitnessBook, ticket: Ticket) -> WitnessAnswer:
+        return WitnessAnswer(Verdict.SEALED, NOT_RUN)
+
+    _replace(WitnessBook, 'ask', ask)
+
+
+def _ignore_home() -> None:
+    """Serves a request in any region of its kind."""
+
+    def allowed(catalogue: Any, team: Team, kind: Kind) -> frozenset[str]:
+        return frozenset(catalogue.region_of)
+
+    _replace(placement, 'allowed_data_centres', allowed)
+
+
+def _go_back() -> None:
+    """Adopts any version that is offered."""
+    original = Rollout.offer
+
+    def offer(rollout: Rollout, offered: Offer) -> Decision:
+        rollout._catalogue = None
+        return original(rollout, offered)
+
+    _replace(Rollout, 'offer', offer)
+
+
+def _keep_leaving() -> None:
+    """Gives work to upstreams that are leaving."""
+    _replace(UpstreamState, 'is_leaving', property(lambda _: False))
+
+
+def _drain_hastily() -> None:
+    """Stops without waiting for open work."""
+    _replace(lifecycle, '_is_busy', lambda _: False)
+
+
+def _need_peers() -> None:
+    """Serves only while somebody confirms the configuration."""
+    original = Instance.catalogue
+
+    def catalogue(instance: Instance) -> Any:
+        age_s = instance.views.rollout.age.total_seconds()
+        if age_s > _STALE_S:
+            raise NotReadyError
+        return original(instance)
+
+    _replace(Instance, 'catalogue', catalogue)
+
+
+VARIANTS: Final = MappingProxyType[str, Callable[[], None]](
+    {
+        'rerun_repeats': _rerun_repeats,
+        'seal_what_is_held': _seal_what_is_held,
+        'ignore_home': _ignore_home,
+        'go_back': _go_back,
+        'keep_leaving': _keep_leaving,
+        'drain_hastily': _drain_hastily,
+        'need_peers': _need_peers,
+    }
+)
+
+
+def _replace(owner: object, name: str, replacement: object) -> None:
+    setattr(owner, name, replacement)
+
+
+def main() -> None:
+    """Breaks one decision and runs the instance."""
+    VARIANTS[sys.argv.pop(1)]()
+    instance_program.main()
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/checks.py
+++ b/bench/checks.py
@@ -76,6 +76,17 @@
                 yield Violation('leaving', leaving.subject, str(record))
 
 
+def count_offered(history: History, leaving: Interval) -> int:
+    """Counts the work that other upstreams of the place got meanwhile."""
+    place = leaving.subject.rpartition('-engine-')[0]
+    return sum(
+        record['event'] in _WORK
+        and record['upstream'].startswith(f'{place}-engine-')
+        and leaving.start_s + LEAVING_S < record['at_s'] < leaving.end_s
+        for record in history.records
+    )
+
+
 def check_graceful_shutdown(
     history: History,
     ledger: Ledger,
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -45,6 +45,7 @@
     slots: int = 8
     timing: dict[str, int] = attrs.field(factory=dict)
     limits: dict[str, int] = attrs.field(factory=dict)
+    program: tuple[str, ...] = ('masticstage.instance_program',)
 
 
 @final
@@ -238,7 +239,7 @@
                 ]  # fmt: skip
             for name in instance_names(place):
                 self.commands[name] = [
-                    python, '-m', 'masticstage.instance_program',
+                    python, '-m', *self.options.program,
                     str(self._write_settings(name, place)),
                 ]  # fmt: skip
 
--- a/bench/proof.py
+++ b/bench/proof.py
@@ -11,6 +11,7 @@
     check_cut_off,
     check_graceful_shutdown,
     check_leaving,
+    count_offered,
     operations_in_cut,
     operations_in_drain,
 )
@@ -164,7 +165,9 @@
             'whole_answer': sum(seen.text is not None for seen in observations),
             'not_run': sum(seen.sealed_tickets for seen in observations),
             'at_most_once': history.executions().total(),
-            'leaving': len(ledger.leaving),
+            'leaving': sum(
+                count_offered(history, leaving) for leaving in ledger.leaving
+            ),
             'graceful_shutdown': len(operations_in_drain(history, ledger)),
             'configuration': len(monitor.sightings),
             'quarantine': sum(
--- a/bench/prove.py
+++ b/bench/prove.py
@@ -18,12 +18,15 @@
 from bench.callers import CallerPool, collect_history, create_pool
 from bench.deployments import DEPLOYMENTS
 from bench.faults import FAULTS, Ledger, inject
-from bench.fleet import Fleet, running_fleet
+from bench.fleet import Fleet, FleetOptions, running_fleet
 from bench.monitor import Monitor
 from bench.proof import Proof
 from bench.workload import Mix, generate_operations
 
 _LOAD_S: Final = 6.0
+#: Load of histories in which work must arrive long after the fault.
+_LONG_LOAD_S: Final = 12.0
+_LONG: Final = frozenset(('retire_upstream',))
 _RATE_PER_S: Final = 12.0
 _SETTLE_S: Final = 1.0
 _EARLIEST_FAULT_S: Final = 0.5
@@ -46,7 +49,7 @@
         operations = generate_operations(
             self.fleet.deployment,
             _RATE_PER_S,
-            _LOAD_S,
+            _LONG_LOAD_S if _LONG.intersection(kinds) else _LOAD_S,
             self.random,
             _MIX,
         )
@@ -91,11 +94,12 @@
     number: int,
     planned: list[tuple[str, ...]],
     proof: Proof,
+    options: FleetOptions,
 ) -> None:
     """Runs planned histories on one fleet, until none is left."""
     deployment = list(DEPLOYMENTS.values())[number % len(DEPLOYMENTS)]
     folder = Path('out') / f'prove-{number}'
-    async with running_fleet(deployment, folder) as fleet:
+    async with running_fleet(deployment, folder, options) as fleet:
         while planned:
             kinds = planned.pop(0)
             random = Random(f'{proof.seed}/{kinds}/{len(planned)}')
@@ -118,12 +122,19 @@
     seed: int,
     fleets: int,
     planned: list[tuple[str, ...]],
+    variant: str = '',
 ) -> Proof:
-    """Runs all histories and returns the proof."""
+    """Runs all histories and returns the proof.
+
+    A `variant` is a broken instance of `bench.broken`.
+    """
     proof = Proof(seed)
+    options = FleetOptions()
+    if variant:
+        options.program = ('bench.broken', variant)
     async with trio.open_nursery() as nursery:
         for number in range(fleets):
-            nursery.start_soon(run_fleet, number, planned, proof)
+            nursery.start_soon(run_fleet, number, planned, proof, options)
     return proof
 
 
--- a/src/masticstage/caller.py
+++ b/src/masticstage/caller.py
@@ -41,6 +41,8 @@
 _MAX_TICKETS: Final = 5
 #: Weight of an entry that is not listed any more.
 _UNLISTED_WEIGHT: Final = 0.01
+#: The only problem that proves that a ticketed call did not run.
+_SEALED: Final = 'urn:masticstage:sealed'
 _DONE: Final = '[DONE]'
 _Received = TypeVar('_Received')
 
@@ -234,7 +236,7 @@
                 self._avoid(entry)
                 await trio.sleep(_PAUSE_S)
                 continue
-            outcome = _read_outcome(response)
+            outcome = read_outcome(response)
             if outcome.outcome is not Outcome.UNKNOWN:
                 return outcome
             await trio.sleep(_PAUSE_S)
@@ -419,13 +421,14 @@
     return is_server_side or error.status_code in later
 
 
-def _read_outcome(response: httpx.Response) -> CallOutcome:
+def read_outcome(response: httpx.Response) -> CallOutcome:
+    """Returns what a reply proves about a ticketed call."""
     content_type = response.headers.get('Content-Type', '')
     if response.headers.get('Masticstage-Outcome') == Outcome.RAN.value:
         answer = Answer(response.status_code, content_type, response.content)
         return CallOutcome(Outcome.RAN, answer)
     try:
-        problem = response.json()
-        return CallOutcome(Outcome(problem['outcome']))
+        code = response.json()['type']
     except (KeyError, TypeError, ValueError):
-        return CallOutcome(Outcome.UNKNOWN)
+        return UNKNOWN
+    return NOT_RUN if code == _SEALED else UNKNOWN
--- a/src/masticstage/caller_api.py
+++ b/src/masticstage/caller_api.py
@@ -115,22 +115,27 @@
 def _add_error_handlers(app: QuartTrio, instance: Instance) -> None:
     @app.errorhandler(MasticstageError)
     async def failed(error: MasticstageError) -> Response:
-        return _to_response(refuse(instance, error, _request_id()))
+        return _refused(instance, error)
 
     @app.errorhandler(RequestEntityTooLarge)
     async def too_large(_: RequestEntityTooLarge) -> Response:
         limit = instance.settings.limits.body_bytes
         error = BodyTooLargeError(limit)
-        return _to_response(refuse(instance, error, _request_id()))
+        return _refused(instance, error)
 
     @app.errorhandler(InternalServerError)
     async def broken(_: InternalServerError) -> Response:
-        return _to_response(refuse(instance, InternalError(), _request_id()))
+        return _refused(instance, InternalError())
 
     @app.errorhandler(HTTPException)
     async def invalid(error: HTTPException) -> Response:
         described = InvalidRequestError(error.description or error.name)
-        return _to_response(refuse(instance, described, _request_id()))
+        return _refused(instance, described)
+
+
+def _refused(instance: Instance, error: MasticstageError) -> Response:
+    ticket = http_request.headers.get(TICKET_HEADER, '')
+    return _to_response(refuse(instance, error, _request_id(), ticket))
 
 
 async def _model_request(instance: Instance) -> Request:
--- a/src/masticstage/peer_server.py
+++ b/src/masticstage/peer_server.py
@@ -1,5 +1,6 @@
 """Serves the calls of other instances over gRPC."""
 
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Final, final
 
 import grpc
@@ -120,21 +121,28 @@
         context: '_Context',
     ) -> None:
         """Serves a request that another instance has forwarded."""
-        await from_asyncio(lambda: self._relay(request, context))
+        write = aio_as_trio(context.write)
+        await from_asyncio(lambda: self.relay(request, write))
 
-    async def _relay(
+    async def relay(
         self,
         message: pb.RelayRequest,
-        context: '_Context',
+        write: Callable[[pb.RelayChunk], Awaitable[None]],
     ) -> None:
+        """Serves a forwarded request and writes the chunks of the reply."""
         try:
             await self._catch_up(message)
             request = decode_request(self._instance, message)
         except MasticstageError as error:
-            reply = refuse(self._instance, error, message.request_id)
+            reply = refuse(
+                self._instance,
+                error,
+                message.request_id,
+                message.ticket,
+            )
         else:
             reply = await serve(self._instance, request)
-        await write_reply(reply, aio_as_trio(context.write))
+        await write_reply(reply, write)
 
     async def _catch_up(self, message: pb.RelayRequest) -> None:
         """Fetches the configuration under which a request was accepted."""
--- a/src/masticstage/serving.py
+++ b/src/masticstage/serving.py
@@ -20,7 +20,7 @@
     try:
         reply = await _serve(instance, request)
     except MasticstageError as error:
-        return refuse(instance, error, request.request_id)
+        return refuse(instance, error, request.request_id, request.ticket)
     finally:
         instance.metrics.record(
             f'{request.service}.{request.kind.name}.reply',
@@ -31,34 +31,38 @@
 
 def refuse(
     instance: Instance,
-    error: MasticstageError,
+    failure: MasticstageError,
     request_id: str,
+    ticket: str,
 ) -> Reply:
-    """Returns the problem reply to a failure and records it."""
+    """Returns the problem reply to a failure and records it.
+
+    For a request with a ticket only a seal proves `not_run`, wherever the
+    request was refused: an earlier copy of it may have run.
+    """
+    error = failure
+    if ticket and _is_unproved(failure):
+        error = TicketUndecidedError(str(failure))
     instance.audit.record(Event.REFUSED, request_id, str(error))
     instance.metrics.count(f'refused_{error.code}')
     return problem_reply(error, request_id, instance.version)
 
 
+def _is_unproved(failure: MasticstageError) -> bool:
+    if isinstance(failure, SealedError):
+        return False
+    return isinstance(failure, RejectedError)
+
+
 async def _serve(instance: Instance, request: Request) -> Reply:
     if request.ticket:
-        return await _serve_ticket(instance, request)
+        return await run_ticket(instance, request)
     service = instance.check_accepting().services[request.service]
     if service.type == 'model':
         return await answer_model(instance, request)
     return await _serve_call(instance, request)
 
 
-async def _serve_ticket(instance: Instance, request: Request) -> Reply:
-    """Serves a ticketed call, for which only a seal proves `not_run`."""
-    try:
-        return await run_ticket(instance, request)
-    except SealedError:
-        raise
-    except RejectedError as error:
-        raise TicketUndecidedError(str(error)) from error
-
-
 async def _serve_call(instance: Instance, request: Request) -> Reply:
     limits = instance.books.calls
     refusal = limits.refusal(
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -39,6 +39,12 @@
             self.version if self.shown_version is None else (self.shown_version)
         )
 
+    def must_wait(self, above: int) -> bool:
+        """Tells whether a watch waits; a stale platform answers at once."""
+        if self.is_down or self.shown_version is not None:
+            return False
+        return self.version <= above
+
     def publish(self, version: int, document: dict[str, Any]) -> None:
         """Publishes a value and wakes the watches."""
         self.version = version
@@ -66,7 +72,7 @@
         platform.calls += 1
         above = int(request.args['above'])
         with trio.move_on_after(float(request.args['wait_s'])):
-            while platform.shown <= above and not platform.is_down:
+            while platform.must_wait(above):
                 await platform.changed.wait()
         if platform.is_down:
             return Response('down', status=HTTPStatus.SERVICE_UNAVAILABLE)
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -3,21 +3,27 @@
 import json
 from datetime import timedelta
 
+import httpx
 import trio
 
 from masticstage import peer_pb2 as pb
+from masticstage.caller import read_outcome
+from masticstage.caller_api import create_app
 from masticstage.clock import ManualClock
 from masticstage.exceptions import (
     PeerUnreachableError,
     UpstreamFailedError,
 )
 from masticstage.models import answer_model
+from masticstage.outcomes import Outcome
+from masticstage.peer_server import PeerService
 from masticstage.relays import forward, read_whole
 from masticstage.serving import serve
 from masticstage.streams import RESUME
 from masticstage.summaries import Summary
 from masticstage.upstream_table import UpstreamTable
 from tests.builders import (
+    TEAM_KEY,
     build_call,
     build_end,
     build_event,
@@ -142,3 +148,48 @@
         table.begin('x')
         table.end('x', None)
     assert len(table.state('x').dispatched_at) < 10
+
+
+def test_refusal_before_serving_is_no_proof_for_a_ticket():
+    async def check(instance):
+        client = create_app(instance).test_client()
+        instance.clock.advance(timedelta(seconds=10))
+        response = await client.post(
+            '/v1/services/shop/orders',
+            json={},
+            headers={
+                'Authorization': f'Bearer {TEAM_KEY}',
+                'Idempotency-Key': 'ticket',
+            },
+        )
+        problem = await response.get_json(force=True)
+        assert problem['type'] == 'urn:masticstage:ticket-undecided'
+        assert problem['outcome'] == 'unknown'
+
+    run_with_instance(check)
+
+
+def test_refusal_of_a_forwarded_ticket_is_no_proof():
+    async def check(instance):
+        written = []
+
+        async def write(chunk):
+            written.append(chunk)
+
+        instance.clock.advance(timedelta(seconds=10))
+        service = PeerService(instance)
+        message = pb.RelayRequest(ticket='ticket', team='team-north')
+        await service.relay(message, write)
+        problem = json.loads(written[0].body)
+        assert problem['outcome'] == 'unknown'
+
+    run_with_instance(check)
+
+
+def test_caller_takes_only_a_seal_as_proof():
+    def answer(code):
+        problem = {'type': f'urn:masticstage:{code}', 'outcome': 'not_run'}
+        return read_outcome(httpx.Response(503, json=problem))
+
+    assert answer('not-ready').outcome is Outcome.UNKNOWN
+    assert answer('sealed').outcome is Outcome.NOT_RUN
