--- a/src/masticstage/caller_api.py
+++ b/src/masticstage/caller_api.py
@@ -6,7 +6,7 @@
 from typing import Final
 from uuid import uuid4
 
-from quart import Response
+from quart import Response, g
 from quart import request as http_request
 from quart.wrappers import Request as HttpRequest
 from quart_trio import QuartTrio
@@ -267,9 +267,7 @@
     given = http_request.headers.get(REQUEST_ID_HEADER, '')
     if given.isascii() and 0 < len(given) <= _MAX_REQUEST_ID:
         return str(given)
-    context = http_request.__dict__
-    context.setdefault('masticstage_request_id', uuid4().hex)
-    return str(context['masticstage_request_id'])
+    return str(g.setdefault('request_id', uuid4().hex))
 
 
 def _json_response(described: object) -> Response:
