Accept only plain request ids

Cause: a caller's request id becomes part of the path under which an answer is resumed at its engine; one with a slash or a question mark could not be resumed or named another path. Change: letters, digits, - and _ are kept, anything else is replaced.

--- a/src/masticstage/caller_api.py
+++ b/src/masticstage/caller_api.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import re
 from collections.abc import AsyncIterator
 from typing import Final
 from uuid import uuid4
@@ -263,9 +264,14 @@
 
 
 def _request_id() -> str:
-    """Returns the caller's request id; a new one is made once when absent."""
+    """Returns the caller's request id, or makes one.
+
+    It becomes part of paths and logs, so only letters, digits, `-` and `_` are
+    accepted.
+    """
     given = http_request.headers.get(REQUEST_ID_HEADER, '')
-    if given.isascii() and 0 < len(given) <= _MAX_REQUEST_ID:
+    is_plain = re.fullmatch('[A-Za-z0-9_-]+', given) is not None
+    if is_plain and len(given) <= _MAX_REQUEST_ID:
         return str(given)
     return str(g.setdefault('request_id', uuid4().hex))
 
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -61,6 +61,28 @@
     run_with_client(check)
 
 
+def test_request_id_that_is_no_name_is_replaced():
+    async def check(_, client):
+        for given in ('a/../b', 'a?b', 'a b', 'x' * 65):
+            headers = {**KEY, 'X-Request-Id': given}
+            response = await client.post(CHAT, data=b'{', headers=headers)
+            problem = await expect_problem(response, 400, 'invalid-request')
+            assert problem['request_id'].isalnum()
+            assert problem['request_id'] != given
+
+    run_with_client(check)
+
+
+def test_request_id_of_the_caller_is_kept():
+    async def check(_, client):
+        headers = {**KEY, 'X-Request-Id': 'order-7_b'}
+        response = await client.post(CHAT, data=b'{', headers=headers)
+        problem = await expect_problem(response, 400, 'invalid-request')
+        assert problem['request_id'] == 'order-7_b'
+
+    run_with_client(check)
+
+
 def test_unknown_team_is_refused():
     async def check(_, client):
         headers = {'Authorization': 'Bearer nobody'}
