Check an upstream again after a suspected request has waited

Cause: read as a newcomer, a request that waits up to 5 s to run apart went to the upstream chosen before the wait, which may have begun to leave. Change: the checks before a dispatch are repeated after the wait. Measured: the new test fails without the change and passes with it.

--- a/src/masticstage/generations.py
+++ b/src/masticstage/generations.py
@@ -127,7 +127,10 @@
         with trio.move_on_after(_APART_S):
             while suspects.are_at(run.upstream.name):
                 await trio.sleep(_APART_POLL_S)
-        return run
+        # The upstream may have begun to leave during the wait.
+        if may_serve_here(self._instance, self._request, run.upstream):
+            return run
+        return self.next_run()
 
     async def _strike(self, run: EngineRun) -> None:
         """Notes a crash and tells the peers before anything runs again."""
