Stop every process that a proof has started

Cause: nine instances were left after today's proofs. When two faults of one history replaced the same instance, the first handle was overwritten and its process never stopped. Change: all handles are kept and stopped.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -57,6 +57,7 @@
     folder: Path
     options: FleetOptions
     processes: dict[str, trio.Process] = attrs.field(factory=dict)
+    spawned: list[trio.Process] = attrs.field(factory=list)
     commands: dict[str, list[str]] = attrs.field(factory=dict)
     version: int = 0
     leaving: set[str] = attrs.field(factory=set)
@@ -102,14 +103,14 @@
 
     async def stop(self) -> None:
         """Terminates all processes, and kills those that do not end."""
-        for process in self.processes.values():
+        for process in self.spawned:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.terminate()
         with trio.move_on_after(_STOP_TIMEOUT_S):
-            for process in self.processes.values():
+            for process in self.spawned:
                 await process.wait()
-        for process in self.processes.values():
+        for process in self.spawned:
             if process.poll() is None:
                 process.kill()
                 await process.wait()
@@ -131,6 +132,8 @@
             stderr=subprocess.STDOUT,
             stdin=subprocess.DEVNULL,
         )
+        # Two faults may replace one process; both replacements are stopped.
+        self.spawned.append(self.processes[name])
         log.close()
 
     async def kill(self, name: str) -> None:
