--- a/bench/faults.py
+++ b/bench/faults.py
@@ -63,13 +63,7 @@
 
 async def kill_instance(fleet: Fleet, ledger: Ledger, random: Random) -> None:
     """Kills an instance and replaces it at the same address."""
-    name = random.choice(fleet.instances())
-    start_s = time.time()
-    await fleet.kill(name)
-    await trio.sleep(_DOWN_S)
-    await fleet.spawn(name)
-    await fleet.wait_ready(name)
-    ledger.disturbed.append(Interval(name, start_s, time.time()))
+    await _kill_and_replace(fleet, ledger, random.choice(fleet.instances()))
 
 
 async def kill_owner(fleet: Fleet, ledger: Ledger, random: Random) -> None:
@@ -82,13 +76,8 @@
             Operation(0, name, place.region, ONCE, body, _OWNED_TIMEOUT_S),
         )
     await trio.sleep(_DOWN_S)
-    name = random.choice(instance_names(place))
-    start_s = time.time()
-    await fleet.kill(name)
-    await trio.sleep(_DOWN_S)
-    await fleet.spawn(name)
-    await fleet.wait_ready(name)
-    ledger.disturbed.append(Interval(name, start_s, time.time()))
+    victim = random.choice(instance_names(place))
+    await _kill_and_replace(fleet, ledger, victim)
 
 
 async def pause_instance(fleet: Fleet, ledger: Ledger, random: Random) -> None:
@@ -281,6 +270,16 @@
     await FAULTS[kind](fleet, ledger, random)
 
 
+async def _kill_and_replace(fleet: Fleet, ledger: Ledger, name: str) -> None:
+    """Kills an instance and starts another at the same address."""
+    start_s = time.time()
+    await fleet.kill(name)
+    await trio.sleep(_DOWN_S)
+    await fleet.spawn(name)
+    await fleet.wait_ready(name)
+    ledger.disturbed.append(Interval(name, start_s, time.time()))
+
+
 async def _cut(
     fleet: Fleet,
     ledger: Ledger,
