Serve routed requests on the users' platform: the whole path

Cause: the product spoke a protocol of its own only; the platform's callers, upstreams and store could not be met. Change: forwarding/ (decisions), edges/ (HTTP/1.1 over trio and h11, exchanges between instances, health checks), platform/ (names, formats, calls), one program on every machine, settings rendered as our own TOML.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 	$(BIN)/python -m bench.capacity
 
 generate: $(READY)
-	$(BIN)/python tools/generate.py
+	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python tools/generate.py
 	$(BIN)/ruff format --quiet src
 
 format: $(READY)
--- a/src/masticstage/clock.py
+++ b/src/masticstage/clock.py
@@ -1,7 +1,7 @@
 """Time as an interface, with a system clock and a manual one."""
 
 from datetime import UTC, datetime, timedelta
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Protocol, final
 
 import attrs
@@ -26,8 +26,11 @@
         return datetime.now(UTC)
 
     def elapsed(self) -> timedelta:
-        """Returns the monotonic time of the system."""
-        return timedelta(seconds=monotonic())
+        """Returns the steady time of the system.
+
+        Unlike the monotonic clock it counts suspensions of the machine.
+        """
+        return timedelta(seconds=clock_gettime(CLOCK_BOOTTIME))
 
 
 @final
--- a/src/masticstage/composition.py
+++ b/src/masticstage/composition.py
@@ -14,11 +14,23 @@
     to_milliseconds,
 )
 from masticstage.drain import Drain
+from masticstage.edges.connections import Pool
+from masticstage.edges.decision_log import DecisionLog
+from masticstage.edges.gateway import Activity, Beliefs, Gateway, Links
+from masticstage.entrysettings_schema import EntrySettings
+from masticstage.forwarding.budgets import BudgetBounds, RepeatBudget
+from masticstage.forwarding.choice import Chooser
+from masticstage.forwarding.image import RecordImage
+from masticstage.forwarding.loads import LoadTable
+from masticstage.forwarding.trouble import TroubleWatch
+from masticstage.forwarding.view import FleetView
 from masticstage.instance import Books, Connections, Instance, Views
 from masticstage.membership import Member, MemberTable
 from masticstage.metrics import Metrics
 from masticstage.peer_client import PeerClient
 from masticstage.peer_tls import channel_credentials
+from masticstage.platform.store import StoreClient
+from masticstage.platform.wire import build_wire
 from masticstage.platform_client import PlatformClient
 from masticstage.quarantine import Quarantine, SuspectRuns
 from masticstage.retries import RetryBudget
@@ -32,6 +44,17 @@
 from masticstage.upstream_table import UpstreamTable
 
 _PAUSE_THRESHOLD = timedelta(seconds=2)
+#: Standstill of an entry instance after which its view is refreshed: longer
+#: than any step of its own, shorter than the bounds on leaving upstreams.
+_SHORT_PAUSE = timedelta(seconds=1.2)
+#: Time after which a suspected instance is asked only now and then.
+_GONE_AFTER = timedelta(seconds=5)
+#: Time to connect inside a region, where a round trip takes a millisecond,
+#: and to another region, where it takes 110 ms and may lose a packet.
+_UPSTREAM_CONNECT_S = 0.3
+_PEER_CONNECT_S = 0.5
+#: Idle connections are kept for less than the upstreams' own limits.
+_KEPT_S = 4.0
 
 
 def build_instance(
@@ -111,3 +134,61 @@
         Router(upstreams, random),
         SummaryTable(clock),
     )
+
+
+def build_gateway(
+    settings: EntrySettings,
+    clock: Clock,
+    nursery: trio.Nursery,
+) -> Gateway:
+    """Wires the parts of an entry instance on the users' platform."""
+    region_of = {place.data_centre: place.region for place in settings.places}
+    own = settings.instance
+    return Gateway(
+        settings,
+        clock,
+        build_wire(region_of),
+        _build_beliefs(settings, clock),
+        Links(
+            StoreClient(settings.store.address),
+            Pool(clock, _UPSTREAM_CONNECT_S, _KEPT_S),
+            Pool(clock, _PEER_CONNECT_S, _KEPT_S),
+            Pool(clock, _PEER_CONNECT_S, _KEPT_S),
+        ),
+        Activity(),
+        Drain(),
+        PauseDetector(clock, _SHORT_PAUSE),
+        DecisionLog(clock, own.name),
+        Metrics(),
+        nursery,
+    )
+
+
+def _build_beliefs(settings: EntrySettings, clock: Clock) -> Beliefs:
+    own = settings.instance
+    member = Member(
+        MemberId(own.name, to_milliseconds(clock.now())),
+        own.data_centre,
+        own.region,
+        settings.listen.peers,
+        settings.listen.callers,
+    )
+    members = MemberTable(clock, member, _GONE_AFTER)
+    view = FleetView(clock)
+    loads = LoadTable(clock)
+    random = Random()  # noqa: S311 (spreads load; not for secrets)
+    bounds = BudgetBounds(
+        settings.bounds.repeat_ratio,
+        timedelta(seconds=settings.bounds.repeat_window_s),
+        settings.bounds.repeat_slack,
+    )
+    return Beliefs(
+        RecordImage(),
+        view,
+        TroubleWatch(clock),
+        members,
+        loads,
+        Chooser(clock, random, view, loads, members),
+        Quarantine(clock),
+        RepeatBudget(clock, bounds, 2 * len(settings.places)),
+    )
--- /dev/null
+++ b/src/masticstage/edges/entrance.py
@@ -0,0 +1,55 @@
+"""The small edges: readiness, the list of entries, metrics."""
+
+from http import HTTPStatus
+from typing import Final
+
+from masticstage.edges.gateway import Gateway
+from masticstage.edges.listeners import Reply
+from masticstage.forwarding.entries import nearest_entries
+from masticstage.forwarding.wire import RawRequest
+
+_TEXT: Final = ((b'content-type', b'text/plain; version=0.0.4'),)
+
+
+async def answer_readiness(
+    gateway: Gateway,
+    raw: RawRequest,
+    reply: Reply,
+) -> None:
+    """Tells the platform whether this instance takes new callers."""
+    if not gateway.wire.is_readiness_query(raw.target):
+        await reply.whole(HTTPStatus.NOT_FOUND, (), b'')
+    elif gateway.is_ready:
+        await reply.whole(HTTPStatus.OK, (), b'ready\n')
+    else:
+        await reply.whole(HTTPStatus.SERVICE_UNAVAILABLE, (), b'not ready\n')
+
+
+async def answer_entries(
+    gateway: Gateway,
+    raw: RawRequest,
+    reply: Reply,
+) -> None:
+    """Tells a caller which instances to use."""
+    query = gateway.wire.read_entry_query(raw.target)
+    if query is None:
+        await reply.whole(HTTPStatus.NOT_FOUND, (), b'')
+        return
+    members = gateway.beliefs.members
+    addresses = nearest_entries(
+        [members.own, *members.others()],
+        query.data_centre,
+        query.region,
+    )
+    answer = gateway.wire.write_entries(addresses)
+    headers = ((b'content-type', answer.media_type.encode()),)
+    await reply.whole(HTTPStatus.OK, headers, answer.body)
+
+
+async def answer_metrics(
+    gateway: Gateway,
+    _raw: RawRequest,
+    reply: Reply,
+) -> None:
+    """Returns counters and latency percentiles in the text format."""
+    await reply.whole(HTTPStatus.OK, _TEXT, gateway.metrics.render())
--- /dev/null
+++ b/src/masticstage/edges/messages.py
@@ -0,0 +1,117 @@
+"""Conversions between messages of instances and types of the decisions."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from masticstage import peer_pb2 as pb
+from masticstage.clock import milliseconds
+from masticstage.forwarding.image import News, RecordEvent
+from masticstage.forwarding.loads import SharedLoad
+from masticstage.forwarding.requests import CallerRequest, CallKind
+from masticstage.forwarding.routes import Route, Share
+from masticstage.forwarding.wire import DispatchOrder, RawRequest
+
+
+def encode_load(load: SharedLoad) -> pb.SharedLoad:
+    """Returns the message form of own counts at an upstream."""
+    return pb.SharedLoad(
+        upstream=load.upstream,
+        in_flight=load.in_flight,
+        pending_tokens=load.pending_tokens,
+    )
+
+
+def decode_load(record: pb.SharedLoad) -> SharedLoad:
+    """Returns a peer's counts at an upstream."""
+    return SharedLoad(record.upstream, record.in_flight, record.pending_tokens)
+
+
+def encode_news(news: News, *, is_in_trouble: bool) -> bytes:
+    """Returns the encoded form of published records."""
+    message = pb.PublishedNews(
+        records=[
+            pb.PublishedRecord(
+                key=event.key,
+                revision=event.revision,
+                body=event.body or b'',
+                is_deleted=event.body is None,
+            )
+            for event in news.events
+        ],
+        revision=news.revision,
+        is_whole=news.is_whole,
+        is_in_trouble=is_in_trouble,
+    )
+    return message.SerializeToString()
+
+
+def decode_news(message: pb.PublishedNews) -> News:
+    """Returns published records that a peer knows."""
+    events = tuple(
+        RecordEvent(
+            record.key,
+            record.revision,
+            None if record.is_deleted else record.body,
+        )
+        for record in message.records
+    )
+    return News(events, message.revision, message.is_whole)
+
+
+def encode_relay(
+    request: CallerRequest,
+    service: str,
+    tried: Iterable[str],
+    route: Route,
+    order: DispatchOrder,
+) -> pb.RoutedRelay:
+    """Returns a request as it goes to an instance of another region."""
+    return pb.RoutedRelay(
+        method=request.method,
+        target=request.target,
+        headers=[
+            pb.RawHeader(name=name, value=text)
+            for name, text in request.headers
+        ],
+        body=request.body,
+        remaining_ms=order.remaining // timedelta(milliseconds=1),
+        service=service,
+        upstream=order.upstream,
+        tried=sorted(tried),
+        priority=order.priority,
+        kind=route.kind.value,
+        is_resumable=route.is_resumable,
+        homes=sorted(route.homes),
+        last_event_id=order.last_event_id or request.last_event_id,
+    )
+
+
+def decode_relay_route(message: pb.RoutedRelay) -> Route:
+    """Returns the sender's route as far as a relay needs it."""
+    remaining = milliseconds(message.remaining_ms)
+    return Route(
+        'relay',
+        '',
+        '/',
+        CallKind(message.kind),
+        remaining,
+        remaining,
+        (Share(message.service, 1),),
+        message.priority,
+        homes=frozenset(message.homes),
+        is_resumable=message.is_resumable,
+    )
+
+
+def decode_relay_request(
+    message: pb.RoutedRelay,
+    arrived: timedelta,
+) -> RawRequest:
+    """Returns the caller's request as the sender has read it."""
+    return RawRequest(
+        message.method,
+        message.target,
+        tuple((header.name, header.value) for header in message.headers),
+        message.body,
+        arrived,
+    )
--- /dev/null
+++ b/src/masticstage/edges/records.py
@@ -0,0 +1,91 @@
+"""Follows the records that the platform publishes."""
+
+from typing import Final
+
+import trio
+
+from masticstage.edges.gateway import Gateway
+from masticstage.exceptions import HistoryLostError, PlatformUnavailableError
+from masticstage.forwarding.image import News, RecordEvent
+
+#: Length of one watch. A silent one is noticed after it, inside the five
+#: seconds after which a bound on configurations holds again.
+_WATCH_S: Final = 3.0
+#: Pause after a failed call; the platform's rate is shared by all instances.
+_RETRY_S: Final = 0.4
+#: Pause between two looks at absences that are not believed yet.
+_ABSENCE_S: Final = 0.2
+
+
+def take_news(
+    gateway: Gateway,
+    news: News,
+    source: str,
+    *,
+    is_sound: bool,
+) -> None:
+    """Merges news from the platform or a peer and applies what changed.
+
+    `is_sound` tells that the source's platform is not in trouble.
+    """
+    before = gateway.beliefs.image.revision
+    for event in gateway.beliefs.image.take(news):
+        changed = _apply(gateway, event, is_sound=is_sound)
+        if changed:
+            gateway.log.record(
+                'record_changed',
+                key=event.key,
+                revision=event.revision,
+                change=changed,
+                source=source,
+                known_revision=before,
+            )
+
+
+async def follow_records(gateway: Gateway) -> None:
+    """Reads and watches the records, for the life of the process."""
+    is_known = False
+    while True:
+        try:
+            is_known = await _follow_once(gateway, is_known=is_known)
+        except HistoryLostError:
+            gateway.log.record('history_lost')
+            is_known = False
+        except PlatformUnavailableError as error:
+            if gateway.beliefs.trouble.note_failure():
+                gateway.log.record('platform_lost', reason=error.reason)
+            await trio.sleep(_RETRY_S)
+
+
+async def believe_absences(gateway: Gateway) -> None:
+    """Drops records that stayed away after the platform's return."""
+    while True:
+        await trio.sleep(_ABSENCE_S)
+        beliefs = gateway.beliefs
+        due = beliefs.trouble.believe_at()
+        for name in beliefs.view.believe_absences(due):
+            beliefs.loads.forget(name)
+            gateway.log.record('absence_believed', upstream=name)
+
+
+async def _follow_once(gateway: Gateway, *, is_known: bool) -> bool:
+    store, image = gateway.links.store, gateway.beliefs.image
+    if is_known:
+        news = await store.watch(image.revision, _WATCH_S)
+    else:
+        news = await store.read_all()
+    if gateway.beliefs.trouble.note_answer():
+        gateway.log.record('platform_regained', revision=news.revision)
+    take_news(gateway, news, 'platform', is_sound=True)
+    return True
+
+
+def _apply(gateway: Gateway, event: RecordEvent, *, is_sound: bool) -> str:
+    view = gateway.beliefs.view
+    if event.body is not None:
+        return view.take(
+            event.key,
+            gateway.wire.decode_record(event.key, event.body),
+        )
+    due = gateway.beliefs.trouble.believe_at()
+    return view.withdraw(event.key, due if is_sound else None)
--- /dev/null
+++ b/src/masticstage/edges/relays.py
@@ -0,0 +1,221 @@
+"""The peers' edge: exchanges of views, published records, relayed requests."""
+
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Final
+
+from google.protobuf.message import DecodeError
+
+from masticstage import peer_pb2 as pb
+from masticstage.edges.checks import suspect
+from masticstage.edges.dispatch import (
+    EVIDENCE,
+    RELAY_TARGET,
+    UPSTREAM,
+    Dispatched,
+    Task,
+    dispatch,
+)
+from masticstage.edges.exchanges import answer_exchange
+from masticstage.edges.gateway import Gateway
+from masticstage.edges.listeners import Reply
+from masticstage.edges.messages import (
+    decode_relay_request,
+    decode_relay_route,
+    encode_news,
+)
+from masticstage.exceptions import (
+    BrokenConnectionError,
+    InvalidRequestError,
+    UpstreamFailedError,
+)
+from masticstage.forwarding.choice import Choice
+from masticstage.forwarding.events import EventFramer
+from masticstage.forwarding.evidence import Evidence
+from masticstage.forwarding.requests import Headers
+from masticstage.forwarding.wire import DispatchOrder, RawRequest
+
+_MESSAGE: Final = ((b'content-type', b'application/x-protobuf'),)
+_BAD: Final = (DecodeError, InvalidRequestError, ValueError)
+
+_Answer = Callable[[Gateway, RawRequest, Reply], Awaitable[None]]
+
+
+async def serve_peer(gateway: Gateway, raw: RawRequest, reply: Reply) -> None:
+    """Answers one request of another instance."""
+    answer = _ANSWERS.get(raw.target)
+    if answer is None:
+        await reply.whole(HTTPStatus.NOT_FOUND, (), b'')
+        return
+    try:
+        await answer(gateway, raw, reply)
+    except _BAD as error:
+        gateway.log.record('peer_message_refused', reason=str(error))
+        await reply.whole(HTTPStatus.BAD_REQUEST, (), b'')
+
+
+async def _exchange(gateway: Gateway, raw: RawRequest, reply: Reply) -> None:
+    message = pb.FleetExchange.FromString(raw.body)
+    answer = answer_exchange(gateway, message)
+    await reply.whole(HTTPStatus.OK, _MESSAGE, answer.SerializeToString())
+
+
+async def _news(gateway: Gateway, raw: RawRequest, reply: Reply) -> None:
+    known = pb.PublishedNews.FromString(raw.body)
+    news = gateway.beliefs.image.since(known.revision)
+    is_in_trouble = gateway.beliefs.trouble.is_in_trouble
+    encoded = encode_news(news, is_in_trouble=is_in_trouble)
+    await reply.whole(HTTPStatus.OK, _MESSAGE, encoded)
+
+
+async def _relay(gateway: Gateway, raw: RawRequest, reply: Reply) -> None:
+    message = pb.RoutedRelay.FromString(raw.body)
+    request = gateway.wire.read_request(
+        decode_relay_request(message, raw.arrived),
+    )
+    route = decode_relay_route(message)
+    task = Task(
+        request,
+        route,
+        message.service,
+        request.fingerprint(),
+        frozenset(message.tried),
+    )
+    gateway.activity.open_requests += 1
+    try:
+        await _relay_task(gateway, task, message, reply)
+    finally:
+        gateway.activity.open_requests -= 1
+
+
+async def _relay_task(
+    gateway: Gateway,
+    task: Task,
+    message: pb.RoutedRelay,
+    reply: Reply,
+) -> None:
+    choice = _choose(gateway, task, message.upstream)
+    if choice is None:
+        unsent = Dispatched(Evidence.NOT_SENT, message.upstream, 'no upstream')
+        gateway.log.record('relay_refused', task.request.request_id)
+        await _answer_unrun(reply, unsent)
+        return
+    if gateway.beliefs.chooser.is_cold(choice.place.known):
+        gateway.beliefs.chooser.note_cold_dispatch(choice)
+    state = choice.place.state
+    state.in_flight += 1
+    try:
+        await _relay_to(gateway, task, choice, message, reply)
+    finally:
+        state.in_flight -= 1
+
+
+def _choose(gateway: Gateway, task: Task, preferred: str) -> Choice | None:
+    is_current = not gateway.pause.is_overdue()
+    is_wanted = not gateway.beliefs.quarantine.contains(task.fingerprint)
+    if not is_current or not is_wanted:
+        return None
+    return gateway.beliefs.chooser.local(
+        task.request,
+        task.route,
+        task.service,
+        preferred,
+        task.tried,
+    )
+
+
+async def _relay_to(
+    gateway: Gateway,
+    task: Task,
+    choice: Choice,
+    message: pb.RoutedRelay,
+    reply: Reply,
+) -> None:
+    route = task.route
+    passed = gateway.clock.elapsed() - task.request.arrived
+    order = DispatchOrder(
+        choice.upstream,
+        route.limit - passed,
+        route.priority,
+        message.last_event_id,
+    )
+    framer = EventFramer(message.last_event_id)
+    # The sender bounds the wait; it ends this relay by closing.
+    ended = await dispatch(gateway, task, choice, order, framer, route.limit)
+    suspect(gateway, task, choice, ended)
+    try:
+        await _pass_answer(gateway, ended, framer, reply)
+    finally:
+        ended.close()
+
+
+async def _pass_answer(
+    gateway: Gateway,
+    ended: Dispatched,
+    framer: EventFramer,
+    reply: Reply,
+) -> None:
+    if ended.head is None:
+        await _answer_unrun(reply, ended)
+        return
+    headers = (*ended.head.headers, *_marks(ended))
+    if ended.connection is None:
+        await reply.whole(ended.head.status, headers, ended.body)
+        return
+    await reply.start(ended.head.status, headers, ended.body)
+    try:
+        is_whole = await _pass_events(ended, framer, reply)
+    except (BrokenConnectionError, UpstreamFailedError) as error:
+        # The sender sees the relay's connection close without the end.
+        gateway.log.record(
+            'relay_broken',
+            upstream=ended.upstream,
+            reason=error.reason,
+        )
+        return
+    if is_whole and ended.pool is not None:
+        await reply.finish()
+        ended.pool.give_back(ended.connection)
+        ended.connection = None
+
+
+async def _pass_events(
+    ended: Dispatched,
+    framer: EventFramer,
+    reply: Reply,
+) -> bool:
+    """Passes events on; False when the last one is cut off."""
+    if ended.connection is None:
+        return True
+    while True:
+        chunk = await ended.connection.read_chunk()
+        if not chunk:
+            return not framer.has_partial
+        events = framer.feed(chunk)
+        if events:
+            await reply.send(events)
+
+
+async def _answer_unrun(reply: Reply, ended: Dispatched) -> None:
+    await reply.whole(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        _marks(ended),
+        ended.reason.encode(),
+    )
+
+
+def _marks(ended: Dispatched) -> Headers:
+    return (
+        (EVIDENCE, ended.evidence.value.encode()),
+        (UPSTREAM, ended.upstream.encode('latin-1')),
+    )
+
+
+_ANSWERS: Final = MappingProxyType[bytes, _Answer](
+    {
+        b'/exchange': _exchange,
+        b'/news': _news,
+        RELAY_TARGET: _relay,
+    }
+)
--- /dev/null
+++ b/src/masticstage/entry_program.py
@@ -0,0 +1,56 @@
+"""The program masticstage-entry: an entry instance on the users' platform."""
+
+import os
+import sys
+from pathlib import Path
+from typing import Final
+
+import fire
+import trio
+from returns.result import Failure, Success
+
+from masticstage.check_program import print_faults
+from masticstage.clock import SystemClock
+from masticstage.composition import build_gateway
+from masticstage.documents import read_toml, structure
+from masticstage.edges.decision_log import unblock_output
+from masticstage.edges.life import run_gateway
+from masticstage.entrysettings_schema import EntrySettings
+from masticstage.exits import Exit
+
+_SETTINGS: Final = 'MASTICSTAGE_SETTINGS'
+
+
+def run(settings: str = '') -> None:
+    """Runs an entry instance until SIGTERM or SIGINT has drained it.
+
+    Args:
+        settings: path of the settings file (TOML); by default the one that
+            the variable MASTICSTAGE_SETTINGS names.
+
+    """
+    path = settings or os.environ.get(_SETTINGS, '')
+    typed = read_toml(Path(path)).bind(
+        lambda document: structure(document, path, EntrySettings),
+    )
+    match typed:
+        case Success(loaded):
+            unblock_output()
+            trio.run(_run, loaded)
+        case Failure(faults):
+            print_faults(faults)
+            sys.exit(Exit.BAD_INPUT)
+
+
+async def _run(settings: EntrySettings) -> None:
+    async with trio.open_nursery() as nursery:
+        await run_gateway(build_gateway(settings, SystemClock(), nursery))
+
+
+def main() -> None:
+    """Entry point of the program."""
+    fire.Fire(run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/masticstage/entrysettings_schema.py
@@ -0,0 +1,60 @@
+"""Typed form of schemas/entrysettings.json (generated)."""
+
+import attrs
+
+
+@attrs.frozen
+class EntryInstance:
+    """Name and place of this instance; its numeric address."""
+
+    name: str
+    data_centre: str
+    region: str
+    ip: str
+
+
+@attrs.frozen
+class EntryListen:
+    """Addresses (host:port) of callers, readiness, peers, entries."""
+
+    callers: str
+    readiness: str
+    peers: str
+    entries: str
+
+
+@attrs.frozen
+class EntryStore:
+    """Where the platform publishes its records."""
+
+    address: str
+
+
+@attrs.frozen
+class EntryPlace:
+    """A data centre and the region that it is in."""
+
+    data_centre: str
+    region: str
+
+
+@attrs.frozen
+class EntryBounds:
+    """Figures that the users' rules name; times in the unit of the name."""
+
+    grace_s: float
+    repeat_ratio: float
+    repeat_window_s: float
+    repeat_slack: float
+
+
+@attrs.frozen
+class EntrySettings:
+    """Settings of one entry instance on the users' platform."""
+
+    instance: EntryInstance
+    listen: EntryListen
+    store: EntryStore
+    places: tuple[EntryPlace, ...]
+    bounds: EntryBounds
+    seeds: tuple[str, ...] = ()
--- a/src/masticstage/exceptions.py
+++ b/src/masticstage/exceptions.py
@@ -280,6 +280,32 @@
     reason: str
 
 
+@attrs.define(eq=False)
+class HistoryLostError(MasticstageError):
+    """The platform no longer has the changes after a revision."""
+
+    code = 'history-lost'
+    lost: str
+
+
+@attrs.define(eq=False)
+class ConnectError(MasticstageError):
+    """No connection was established, so nothing was sent."""
+
+    code = 'connect-failed'
+    address: str
+    reason: str
+
+
+@attrs.define(eq=False)
+class BrokenConnectionError(MasticstageError):
+    """A connection ended or stalled before the message was complete."""
+
+    code = 'connection-broken'
+    address: str
+    reason: str
+
+
 @attrs.frozen
 class Fault:
     """One fault in a file: where it is and what was expected there."""
--- /dev/null
+++ b/src/masticstage/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about routed requests: pure, with the clock passed in."""
--- /dev/null
+++ b/src/masticstage/forwarding/events.py
@@ -0,0 +1,67 @@
+"""Server-sent events of a stream, cut at their boundaries."""
+
+from typing import Final, final
+
+import attrs
+
+from masticstage.exceptions import UpstreamFailedError
+
+_BOUNDARY: Final = b'\n\n'
+_ID_FIELD: Final = b'id:'
+#: Largest event that is accepted; engines send some hundred bytes.
+_MAX_EVENT_BYTES: Final = 262_144
+
+
+@final
+@attrs.define
+class EventFramer:
+    """Cuts the bytes of one stream into whole events.
+
+    `last_id` is the id of the last whole event, with which another upstream
+    can go on.  Events that a resumed stream repeats are dropped.
+    """
+
+    last_id: str = ''
+    _tail: bytes = b''
+
+    @property
+    def has_partial(self) -> bool:
+        """Whether bytes of an event without its end are held."""
+        return bool(self._tail)
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Adds bytes; returns the whole events among them, if any."""
+        whole, boundary, self._tail = (self._tail + chunk).rpartition(_BOUNDARY)
+        if len(self._tail) > _MAX_EVENT_BYTES:
+            raise UpstreamFailedError('engine', 'event without end')
+        if not boundary:
+            return b''
+        kept = [event for event in whole.split(_BOUNDARY) if self._note(event)]
+        return b''.join(event + _BOUNDARY for event in kept)
+
+    def reopen(self) -> None:
+        """Drops a partial event, before another upstream goes on."""
+        self._tail = b''
+
+    def _note(self, event: bytes) -> bool:
+        """Notes the id of an event; False when it was seen before."""
+        event_id = _event_id(event)
+        if not event_id:
+            return True
+        if _is_repeated(event_id, self.last_id):
+            return False
+        self.last_id = event_id
+        return True
+
+
+def _event_id(event: bytes) -> str:
+    for line in event.split(b'\n'):
+        if line.startswith(_ID_FIELD):
+            return line[len(_ID_FIELD) :].strip().decode('latin-1')
+    return ''
+
+
+def _is_repeated(event_id: str, last_id: str) -> bool:
+    if event_id.isdigit() and last_id.isdigit():
+        return int(event_id) <= int(last_id)
+    return bool(last_id) and event_id == last_id
--- /dev/null
+++ b/src/masticstage/forwarding/loads.py
@@ -0,0 +1,200 @@
+"""What is believed about the load and the health of each upstream.
+
+Own dispatches are counted exactly, those of peers come by gossip, and an
+upstream tells its own load with each answer.  Failures and pace are learnt
+from own outcomes.
+"""
+
+from typing import Final, final
+
+import attrs
+
+from masticstage.clock import Clock
+from masticstage.forwarding.prompts import PromptCache
+
+#: Weight of a new observation in a moving average.
+_WEIGHT: Final = 0.2
+#: Weight of a new outcome in the failure rate: about the last seven count.
+_FAILURE_WEIGHT: Final = 0.15
+#: Time after which the failure rate of an unused upstream has halved.
+_FORGIVE_S: Final = 4.0
+#: Age up to which a load that an upstream reported is corrected and used.
+_REPORT_AGE_S: Final = 0.5
+#: Age up to which a peer's counts are used: some lost exchanges.
+_PEER_AGE_S: Final = 2.0
+#: Bounds on the learnt pace: an upstream may be this much slower or faster.
+_LEAST_PACE: Final = 0.5
+_MOST_PACE: Final = 10.0
+#: Pauses between health checks of an upstream in doubt, in seconds.
+_FIRST_DOUBT_S: Final = 0.25
+_LONGEST_DOUBT_S: Final = 2.0
+
+
+@attrs.frozen
+class ReportedLoad:
+    """Requests that run and wait at an upstream, and its places."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@attrs.frozen
+class SharedLoad:
+    """What one instance has at one upstream, as told to peers."""
+
+    upstream: str
+    in_flight: int
+    pending_tokens: int
+
+
+@attrs.frozen
+class _PeerLoad:
+    """A peer's counts and when they came, in seconds."""
+
+    load: SharedLoad
+    at_s: float
+
+
+@attrs.define
+class UpstreamState:
+    """Counts, health and learnt figures of one upstream.
+
+    `pending_tokens` are those of prompts that were sent and have brought no
+    event yet.  `pace` is the ratio of seen to expected times.
+    """
+
+    born_ms: int
+    cache: PromptCache
+    in_flight: int = 0
+    pending_tokens: int = 0
+    reported: ReportedLoad | None = None
+    reported_at_s: float = 0
+    in_flight_when_reported: int = 0
+    failure_rate: float = 0
+    failure_at_s: float = 0
+    pace: float = 1
+    is_doubtful: bool = False
+    doubt_s: float = _FIRST_DOUBT_S
+    check_at_s: float = 0
+    cold_sent_at_s: float = -1
+    peers: dict[str, _PeerLoad] = attrs.field(factory=dict)
+
+
+@final
+@attrs.define
+class LoadTable:
+    """The states of all upstreams, by name."""
+
+    _clock: Clock
+    _states: dict[str, UpstreamState] = attrs.field(factory=dict)
+
+    def state(
+        self,
+        name: str,
+        born_ms: int = 0,
+        memory_tokens: int = 0,
+    ) -> UpstreamState:
+        """Returns an upstream's state; a new life starts without a past."""
+        known = self._states.get(name)
+        if known is None or (born_ms and known.born_ms != born_ms):
+            known = UpstreamState(
+                born_ms,
+                PromptCache.of_memory(memory_tokens),
+            )
+            self._states[name] = known
+        return known
+
+    def forget(self, name: str) -> None:
+        """Drops the state of an upstream that is gone."""
+        self._states.pop(name, None)
+
+    def in_flight(self, state: UpstreamState) -> int:
+        """Returns the requests that are believed to be at an upstream."""
+        now_s = self._now_s()
+        counted = state.in_flight + sum(
+            peer.load.in_flight
+            for peer in state.peers.values()
+            if now_s - peer.at_s < _PEER_AGE_S
+        )
+        if state.reported is None:
+            return counted
+        if now_s - state.reported_at_s > _REPORT_AGE_S:
+            return counted
+        since = state.in_flight - state.in_flight_when_reported
+        seen = state.reported.running + state.reported.waiting + since
+        return max(state.in_flight, seen)
+
+    def pending_tokens(self, state: UpstreamState) -> int:
+        """Returns the prompt tokens that are believed to be unread there."""
+        now_s = self._now_s()
+        return state.pending_tokens + sum(
+            peer.load.pending_tokens
+            for peer in state.peers.values()
+            if now_s - peer.at_s < _PEER_AGE_S
+        )
+
+    def failure_rate(self, state: UpstreamState) -> float:
+        """Returns the share of recent failures, fading while unused."""
+        idle_s = self._now_s() - state.failure_at_s
+        return float(state.failure_rate * 2 ** (-idle_s / _FORGIVE_S))
+
+    def note_report(self, state: UpstreamState, load: ReportedLoad) -> None:
+        """Takes over the load that an upstream told with an answer."""
+        state.reported = load
+        state.reported_at_s = self._now_s()
+        state.in_flight_when_reported = state.in_flight
+
+    def note_outcome(self, state: UpstreamState, *, is_failure: bool) -> None:
+        """Learns from the end of a dispatch."""
+        rate = self.failure_rate(state)
+        state.failure_rate = rate + _FAILURE_WEIGHT * (is_failure - rate)
+        state.failure_at_s = self._now_s()
+
+    def note_pace(self, state: UpstreamState, ratio: float) -> None:
+        """Learns from the ratio of a seen to an expected time."""
+        bounded = min(max(ratio, _LEAST_PACE), _MOST_PACE)
+        state.pace += _WEIGHT * (bounded - state.pace)
+
+    def doubt(self, state: UpstreamState) -> bool:
+        """Stops the use of an upstream until a health check has passed.
+
+        Returns True when it was in use before.
+        """
+        was_used = not state.is_doubtful
+        state.is_doubtful = True
+        state.check_at_s = self._now_s() + state.doubt_s
+        state.doubt_s = min(_LONGEST_DOUBT_S, 2 * state.doubt_s)
+        return was_used
+
+    def clear_doubt(self, state: UpstreamState) -> bool:
+        """Resumes the use of an upstream; True when it was in doubt."""
+        was_doubtful = state.is_doubtful
+        state.is_doubtful = False
+        state.doubt_s = _FIRST_DOUBT_S
+        return was_doubtful
+
+    def is_check_due(self, state: UpstreamState) -> bool:
+        """Tells whether an upstream in doubt is to be checked again."""
+        return state.is_doubtful and self._now_s() >= state.check_at_s
+
+    def shared(self) -> tuple[SharedLoad, ...]:
+        """Returns what this instance tells its peers."""
+        return tuple(
+            SharedLoad(name, state.in_flight, state.pending_tokens)
+            for name, state in self._states.items()
+            if state.in_flight
+        )
+
+    def take_shared(self, peer: str, loads: tuple[SharedLoad, ...]) -> None:
+        """Replaces what a peer has told before."""
+        for state in self._states.values():
+            state.peers.pop(peer, None)
+        now_s = self._now_s()
+        for load in loads:
+            if load.upstream in self._states:
+                told = _PeerLoad(load, now_s)
+                self._states[load.upstream].peers[peer] = told
+
+    def _now_s(self) -> float:
+        return self._clock.elapsed().total_seconds()
--- /dev/null
+++ b/src/masticstage/forwarding/view.py
@@ -0,0 +1,148 @@
+"""What is in force: routes, usable upstreams, evacuated data centres."""
+
+from datetime import timedelta
+from typing import final
+
+import attrs
+
+from masticstage.clock import Clock
+from masticstage.forwarding.published import (
+    Evacuation,
+    Published,
+    Unreadable,
+    UpstreamRecord,
+)
+from masticstage.forwarding.routes import RouteTable, ServicePlan
+
+
+@attrs.define
+class KnownUpstream:
+    """An upstream's record, with the time until which it is cold."""
+
+    record: UpstreamRecord
+    cold_until: timedelta
+
+
+@final
+@attrs.define
+class FleetView:
+    """The records in force, by their keys.
+
+    A record that vanished while the platform was in trouble is kept until
+    `withdraw` says that its absence is to be believed.
+    """
+
+    _clock: Clock
+    _table: RouteTable | None = None
+    _known: dict[str, KnownUpstream] = attrs.field(factory=dict)
+    _evacuations: dict[str, Evacuation] = attrs.field(factory=dict)
+    _held: dict[str, timedelta | None] = attrs.field(factory=dict)
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The configuration in force, None before the first."""
+        return self._table
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Data centres whose upstreams get nothing."""
+        return frozenset(
+            evacuation.data_centre for evacuation in self._evacuations.values()
+        )
+
+    def plan(self, service: str) -> ServicePlan | None:
+        """Returns how a service is reached, if it is configured."""
+        return self._table.services.get(service) if self._table else None
+
+    def take(self, key: str, published: Published) -> str:
+        """Takes a record over; returns what changed, for the log."""
+        self._held.pop(key, None)
+        match published:
+            case RouteTable():
+                return self._take_table(published)
+            case UpstreamRecord():
+                return self._take_upstream(key, published)
+            case Evacuation():
+                self._evacuations[key] = published
+                return f'evacuation of {published.data_centre}'
+            case Unreadable():
+                self._known.pop(key, None)
+                return f'unreadable: {published.reason}'
+        return ''
+
+    def withdraw(self, key: str, believe_at: timedelta | None) -> str:
+        """Drops a deleted record, at once or at a later time.
+
+        `believe_at` is None while the platform's trouble lasts.
+        """
+        evacuation = self._evacuations.pop(key, None)
+        if evacuation is not None:
+            return f'end of evacuation of {evacuation.data_centre}'
+        known = self._known.get(key)
+        if known is None:
+            return ''
+        if believe_at is None or believe_at > self._clock.elapsed():
+            self._held[key] = believe_at
+            return f'absence of {known.record.name} not believed yet'
+        self._known.pop(key)
+        return f'upstream {known.record.name} gone'
+
+    def believe_absences(self, believe_at: timedelta | None) -> list[str]:
+        """Drops held records whose time has come; returns their names.
+
+        `believe_at` replaces the time of those held while trouble lasted.
+        """
+        gone = []
+        for key, due in list(self._held.items()):
+            moment = due or believe_at
+            self._held[key] = moment
+            if moment is not None and moment <= self._clock.elapsed():
+                self._held.pop(key)
+                gone.append(self._known.pop(key).record.name)
+        return gone
+
+    def upstreams_of(self, service: str) -> list[KnownUpstream]:
+        """Returns the upstreams of a service that may get new work."""
+        evacuated = self.evacuated
+        return [
+            known
+            for known in self._known.values()
+            if known.record.service == service
+            and not known.record.is_leaving
+            and known.record.data_centre not in evacuated
+        ]
+
+    def find(self, name: str) -> KnownUpstream | None:
+        """Returns an upstream that may get new work, by name."""
+        evacuated = self.evacuated
+        for known in self._known.values():
+            if known.record.name != name:
+                continue
+            if known.record.is_leaving:
+                return None
+            in_evacuation = known.record.data_centre in evacuated
+            return None if in_evacuation else known
+        return None
+
+    def everything(self) -> list[KnownUpstream]:
+        """Returns all listed upstreams, leaving ones included."""
+        return list(self._known.values())
+
+    def note_cold(self, name: str, cold_for: timedelta) -> None:
+        """Notes what an upstream said about its own warm-up."""
+        until = self._clock.elapsed() + cold_for
+        for known in self._known.values():
+            if known.record.name == name:
+                known.cold_until = until
+
+    def _take_table(self, table: RouteTable) -> str:
+        if self._table is not None and self._table.version > table.version:
+            return f'version {table.version} is older than the one in force'
+        self._table = table
+        return f'version {table.version} in force'
+
+    def _take_upstream(self, key: str, record: UpstreamRecord) -> str:
+        until = self._clock.elapsed() + record.cold_for
+        self._known[key] = KnownUpstream(record, until)
+        state = 'leaving' if record.is_leaving else 'ready'
+        return f'upstream {record.name} {state}'
--- /dev/null
+++ b/src/masticstage/platform/store.py
@@ -0,0 +1,101 @@
+"""Client of the platform's key-value store: reads and watches only."""
+
+import base64
+import binascii
+from http import HTTPStatus
+from typing import Any, Final, final
+
+import httpx
+
+from masticstage.exceptions import HistoryLostError, PlatformUnavailableError
+from masticstage.forwarding.image import News, RecordEvent
+from masticstage.platform import words
+
+#: Time for an answer beyond the wait of a watch. The store answers in
+#: milliseconds; the rest is for a slow one and for another region.
+_ANSWER_S: Final = 0.9
+#: Time for the whole of one page when the store is read from the start.
+_READ_S: Final = 1.5
+_MS_PER_S: Final = 1000
+
+_Fields = dict[str, Any]
+
+
+@final
+class StoreClient:
+    """Reads the store of one deployment."""
+
+    def __init__(self, address: str) -> None:
+        """Creates the connection pool for the store's address."""
+        self._address = f'http://{address}'
+        self._client = httpx.AsyncClient(trust_env=False)
+
+    async def read_all(self) -> News:
+        """Reads every record; pages are not a snapshot.
+
+        What changes while the pages are read is later told by a watch from
+        the revision of the first one.
+        """
+        revision = 0
+        events: list[RecordEvent] = []
+        after = ''
+        while True:
+            query = {'PathPrefix': ''}
+            if after:
+                query['after'] = after
+            fields = await self._get(words.RANGE_PATH, query, _READ_S)
+            page = _decode(fields, 'items')
+            events.extend(page.events)
+            revision = revision or page.revision
+            if not fields.get('MorePages') or not page.events:
+                return News(tuple(events), revision, is_whole=True)
+            after = page.events[-1].key
+
+    async def watch(self, after: int, wait_s: float) -> News:
+        """Waits for changes after a revision; none when none came."""
+        query = {
+            'PathPrefix': '',
+            'after': str(after),
+            'WaitMs': str(round(wait_s * _MS_PER_S)),
+        }
+        fields = await self._get(words.WATCH_PATH, query, wait_s + _ANSWER_S)
+        return _decode(fields, 'events')
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float,
+    ) -> _Fields:
+        try:
+            response = await self._client.get(
+                self._address + path,
+                params=query,
+                timeout=timeout_s,
+            )
+        except httpx.HTTPError as error:
+            raise PlatformUnavailableError(type(error).__name__) from error
+        if response.status_code == HTTPStatus.GONE:
+            raise HistoryLostError('history')
+        if response.status_code != HTTPStatus.OK:
+            raise PlatformUnavailableError(f'status {response.status_code}')
+        try:
+            fields: _Fields = response.json()
+        except ValueError as error:
+            raise PlatformUnavailableError('malformed answer') from error
+        return fields
+
+
+def _decode(fields: _Fields, list_name: str) -> News:
+    try:
+        events = tuple(_decode_event(entry) for entry in fields[list_name])
+        return News(events, int(fields['CurrentRev']), is_whole=False)
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        raise PlatformUnavailableError('malformed answer') from error
+
+
+def _decode_event(entry: _Fields) -> RecordEvent:
+    if entry.get('Deleted'):
+        return RecordEvent(entry['Key'], int(entry['Revision']), None)
+    body = base64.b64decode(entry['Value'], validate=True)
+    return RecordEvent(entry['Key'], int(entry['Revision']), body)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -86,7 +86,7 @@
 
 def main() -> None:
     """Writes the generated modules."""
-    for schema_name in ('settings', 'configuration'):
+    for schema_name in ('settings', 'configuration', 'entrysettings'):
         target = _PACKAGE / f'{schema_name}_schema.py'
         target.write_text(_module(schema_name))
     source = _ROOT / 'schema'
