--- a/src/masticstage/edges/connections.py
+++ b/src/masticstage/edges/connections.py
@@ -113,7 +113,7 @@
 
     async def read_body(self) -> bytes:
         """Reads the whole body."""
-        chunks = []
+        chunks: list[bytes] = []
         while True:
             chunk = await self.read_chunk()
             if not chunk:
--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -138,7 +138,9 @@
                 _outgoing(gateway, task, choice, order),
                 gateway.spawn,
             )
-            ended = await _read_answer(gateway, task, choice, connection, framer)
+            ended = await _read_answer(
+                gateway, task, choice, connection, framer
+            )
             ended.pool = pool
             return _settle(ended, connection)
     except (BrokenConnectionError, UpstreamFailedError) as error:
--- a/src/masticstage/edges/entrance.py
+++ b/src/masticstage/edges/entrance.py
@@ -17,12 +17,11 @@
     reply: Reply,
 ) -> None:
     """Tells the platform whether this instance takes new callers."""
-    if not gateway.wire.is_readiness_query(raw.target):
-        await reply.whole(HTTPStatus.NOT_FOUND, (), b'')
-    elif gateway.is_ready:
-        await reply.whole(HTTPStatus.OK, (), b'ready\n')
-    else:
-        await reply.whole(HTTPStatus.SERVICE_UNAVAILABLE, (), b'not ready\n')
+    status = HTTPStatus.NOT_FOUND
+    if gateway.wire.is_readiness_query(raw.target):
+        is_ready = gateway.is_ready
+        status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+    await reply.whole(status, (), status.phrase.encode())
 
 
 async def answer_entries(
@@ -36,10 +35,12 @@
         await reply.whole(HTTPStatus.NOT_FOUND, (), b'')
         return
     members = gateway.beliefs.members
+    table = gateway.beliefs.view.table
     addresses = nearest_entries(
         [members.own, *members.others()],
         query.data_centre,
         query.region,
+        table.homes_of(query.host) if table else (),
     )
     answer = gateway.wire.write_entries(addresses)
     headers = ((b'content-type', answer.media_type.encode()),)
--- a/src/masticstage/edges/exchanges.py
+++ b/src/masticstage/edges/exchanges.py
@@ -12,7 +12,6 @@
 import attrs
 import trio
 
-
 from masticstage import peer_pb2 as pb
 from masticstage.edges.connections import Outgoing
 from masticstage.edges.gateway import Gateway
@@ -46,7 +45,6 @@
 _KEPT_S: Final = 30
 
 
-
 @attrs.define
 class _Rounds:
     """Exchanges without an answer, in a row, by instance."""
--- a/src/masticstage/edges/life.py
+++ b/src/masticstage/edges/life.py
@@ -85,8 +85,7 @@
             gateway.limits if limits is None else lambda: limits,
             lambda: gateway.drain.is_draining,
         )
-        handler = partial(answer, gateway)
-        await gateway.guard(connection.serve, handler)
+        await gateway.guard(connection.serve, partial(answer, gateway))
 
     await trio.serve_listeners(converse, [listener])
 
--- a/src/masticstage/edges/listeners.py
+++ b/src/masticstage/edges/listeners.py
@@ -85,7 +85,7 @@
         await self._stream.send_all(b''.join(one for one in pieces if one))
 
 
-Handler = Callable[[RawRequest, Reply], Awaitable[None]]
+Respond = Callable[[RawRequest, Reply], Awaitable[None]]
 
 
 @final
@@ -108,10 +108,10 @@
             max_incomplete_event_size=self._limits().header_bytes,
         )
 
-    async def serve(self, handler: Handler) -> None:
+    async def serve(self, respond: Respond) -> None:
         """Handles requests until either side ends the connection."""
         try:
-            while await self._serve_one(handler):
+            while await self._serve_one(respond):
                 self._http.start_next_cycle()
                 self._head = self._http.trailing_data[0]
         except _GONE:
@@ -122,7 +122,7 @@
         finally:
             self._stream.socket.close()
 
-    async def _serve_one(self, handler: Handler) -> bool:
+    async def _serve_one(self, respond: Respond) -> bool:
         raw = await self._read_request()
         if raw is None:
             return False
@@ -130,7 +130,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch_departure, nursery.cancel_scope)
-                await handler(raw, reply)
+                await respond(raw, reply)
                 nursery.cancel_scope.cancel()
         except* _GONE:
             # The caller left while its answer was written.
@@ -241,8 +241,7 @@
             try:
                 await self._stream.send_all(head.encode())
                 await self._stream.send_eof()
-                while await self._stream.receive_some(_READ_BYTES):
-                    continue
+                await _read_to_end(self._stream)
             except _GONE:
                 return
 
@@ -254,6 +253,13 @@
     return 0
 
 
+async def _read_to_end(stream: trio.SocketStream) -> None:
+    """Drops what still comes, so that closing does not reset the answer."""
+    is_open = True
+    while is_open:
+        is_open = bool(await stream.receive_some(_READ_BYTES))
+
+
 async def listen(address: str) -> trio.SocketListener:
     """Opens a listening socket on a numeric address."""
     host, _, port = address.rpartition(':')
--- a/src/masticstage/edges/relays.py
+++ b/src/masticstage/edges/relays.py
@@ -119,7 +119,6 @@
     return gateway.beliefs.chooser.local(
         task.request,
         task.route,
-        task.service,
         preferred,
         task.tried,
     )
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -2,12 +2,12 @@
 
 For each upstream that may serve it the time to the first event or answer is
 predicted: the way there, the wait, and the reading of what is not cached.
-The lowest prediction wins, after prices for crossing regions and for recent
-failures.
+The place with the lowest cost wins: a late answer, reading again what another
+upstream holds, crossing regions and failures all cost a share of the worth.
 """
 
-from collections.abc import Collection, Iterator
-from datetime import timedelta
+from collections.abc import Collection, Iterator, Sequence
+from math import exp
 from random import Random
 from typing import Final, final
 
@@ -16,7 +16,7 @@
 
 from masticstage.clock import Clock
 from masticstage.forwarding.loads import LoadTable, UpstreamState
-from masticstage.forwarding.requests import CallerRequest
+from masticstage.forwarding.requests import CallerRequest, Prompt
 from masticstage.forwarding.routes import Route, ServicePlan
 from masticstage.forwarding.view import FleetView, KnownUpstream
 from masticstage.forwarding.warmups import chosen_sender, cold_interval_s
@@ -30,17 +30,29 @@
 _STREAM_S: Final = 1.0
 #: Time of a plain call until one was seen, in seconds.
 _CALL_S: Final = 0.05
-#: What a certain failure costs in the score, in seconds.
-_FAILURE_COST_S: Final = 1.0
-#: What crossing regions costs in the score beside its delay, in seconds.
-_CROSSING_COST_S: Final = 0.05
-#: Greatest advantage that rendezvous hashing gives an upstream, in seconds.
-_AFFINITY_S: Final = 0.03
+#: Costs are shares of what a request is worth to its caller.
+#: A late answer is worth about a third of one that is on time.
+_LATE_COST: Final = 0.7
+#: Prediction, as a part of the target, at which half of all answers are
+#: late, and how fast that grows; from errors of the prediction (POLICY.md).
+_LATE_AT: Final = 0.9
+_LATE_WIDTH: Final = 0.12
+#: Cost of each target's worth of time: of two on time, the faster one.
+_TIME_COST: Final = 0.06
+#: Cost of reading the shared parts of a prompt again, by their part of it.
+_READ_COST: Final = 0.3
+#: Cost of the bytes between regions, for a request and its answer.
+_CROSSING_COST: Final = 0.04
+#: Cost of a failure that ends a request, and of one that is repeated.
+_FAILURE_COST: Final = 1.0
+_REPEAT_COST: Final = 0.35
 #: Delay to another region and back until it was measured, in seconds.
 _DEFAULT_HOP_S: Final = 0.11
 #: Weight of a new observation in a moving average.
 _WEIGHT: Final = 0.2
-_HASH_RANGE: Final = float(2**64)
+#: Target of a route that names none, in seconds.
+_DEFAULT_TARGET_S: Final = 1.0
+_MAX_EXPONENT: Final = 50.0
 
 
 @attrs.frozen
@@ -48,17 +60,21 @@
     """An upstream, and the peer that reaches it (None from here)."""
 
     known: KnownUpstream
+    plan: ServicePlan
     state: UpstreamState
     via: Member | None
 
 
 @attrs.frozen
 class Choice:
-    """A place with the predicted time to its first event or answer."""
+    """A place with the predicted time to its first event or answer.
+
+    `cost` is the share of the request's worth that is expected to be lost.
+    """
 
     place: Place
     expected_s: float
-    score_s: float
+    cost: float
     uncached_tokens: int
 
     @property
@@ -87,36 +103,34 @@
         service: str,
         tried: Collection[str] = (),
     ) -> Choice | None:
-        """Returns the best place for a request, None when there is none.
-
-        Upstreams that were tried before are taken only when no other is left
-        of which the request could be had.
-        """
+        """Returns the best place for a request, None when there is none."""
+        places = list(self._places(route, service))
+        home = _home_of(request.prompt, places)
         choices = [
-            self._predict(place, request, service)
-            for place in self._places(route, service)
+            self._predict(place, request, route, is_home=place is home)
+            for place in places
+            if place.known.record.name not in tried
         ]
-        fresh = [one for one in choices if one.upstream not in tried]
-        return min(fresh, key=_score, default=None)
+        return min(choices, key=_cost, default=None)
 
     def local(
         self,
         request: CallerRequest,
         route: Route,
-        service: str,
         preferred: str,
         tried: Collection[str],
     ) -> Choice | None:
         """Returns a place in this region: the preferred one if usable."""
+        service = route.service_for(request.request_id)
         choices = [
-            self._predict(place, request, service)
+            self._predict(place, request, route, is_home=False)
             for place in self._places(route, service)
             if place.via is None and place.known.record.name not in tried
         ]
         for one in choices:
             if one.upstream == preferred:
                 return one
-        return min(choices, key=_score, default=None)
+        return min(choices, key=_cost, default=None)
 
     def note_hop(self, region: str, seconds: float) -> None:
         """Learns the delay to a region and back."""
@@ -144,17 +158,17 @@
         plan = self._view.plan(service)
         if plan is None:
             return
-        vias: dict[str, Member | None] = {}
+        vias: dict[str, Member | None] = {self._members.own.region: None}
         for known in self._view.upstreams_of(service):
             region = known.record.region
             if not route.allows(region):
                 continue
-            is_local = region == self._members.own.region
-            if not is_local and region not in vias:
+            if region not in vias:
                 vias[region] = self._pick_member(region)
-            via = None if is_local else vias[region]
-            if (is_local or via) and self._is_usable(known, plan, via):
-                yield Place(known, self._state(known, plan), via)
+            via = vias[region]
+            is_reached = via is not None or region == self._members.own.region
+            if is_reached and self._is_usable(known, plan, via):
+                yield Place(known, plan, self._state(known, plan), via)
 
     def _is_usable(
         self,
@@ -201,38 +215,43 @@
         self,
         place: Place,
         request: CallerRequest,
-        service: str,
+        route: Route,
+        *,
+        is_home: bool,
     ) -> Choice:
-        state = place.state
-        uncached = state.cache.uncached(request.prompt)
-        plan = self._view.plan(service)
-        if plan is not None and plan.engine is not None:
-            slots = plan.engine.slots
-            pending = self._loads.pending_tokens(state)
-            serve_s = _FIRST_EVENT_S + (pending + uncached) / _TOKENS_PER_S
-            hold_s = _STREAM_S
-        else:
+        uncached = place.state.cache.uncached(request.prompt)
+        expected_s = self._expected_s(place, uncached)
+        target_s = route.target.total_seconds() or _DEFAULT_TARGET_S
+        cost = _lateness(expected_s / target_s)
+        cost += self._failure_cost(place, route)
+        if place.via is not None:
+            cost += _CROSSING_COST
+        if request.prompt.tokens_in and not is_home:
+            unread = max(0, uncached - request.prompt.own_tokens)
+            cost += _READ_COST * unread / request.prompt.tokens_in
+        return Choice(place, expected_s, cost, uncached)
+
+    def _expected_s(self, place: Place, uncached: int) -> float:
+        """Predicts the time to the first event or the answer."""
+        state, engine = place.state, place.plan.engine
+        if engine is None:
             slots = max(1, place.known.record.slots)
-            serve_s = self.call_s(service)
+            serve_s = self.call_s(place.plan.name)
             hold_s = serve_s
+        else:
+            slots = engine.slots
+            unread = self._loads.pending_tokens(state) + uncached
+            serve_s = _FIRST_EVENT_S + unread / _TOKENS_PER_S
+            hold_s = _STREAM_S
         ahead = max(0, self._loads.in_flight(state) - slots + 1)
         expected_s = (serve_s + hold_s * ahead / slots) * state.pace
-        if place.via is not None:
-            expected_s += self._hop_s(place.via.region)
-        score_s = expected_s + self._price_s(place, request)
-        return Choice(place, expected_s, score_s, uncached)
+        if place.via is None:
+            return expected_s
+        return expected_s + self._hop_s(place.via.region)
 
-    def _price_s(self, place: Place, request: CallerRequest) -> float:
-        price_s = _FAILURE_COST_S * self._loads.failure_rate(place.state)
-        if place.via is not None:
-            price_s += _CROSSING_COST_S
-        shared = request.prompt.shared
-        if shared:
-            name = place.known.record.name
-            subject = f'{shared[-1].part_id}\0{name}'
-            digest = xxhash.xxh3_64_intdigest(subject.encode())
-            price_s += _AFFINITY_S * digest / _HASH_RANGE
-        return price_s
+    def _failure_cost(self, place: Place, route: Route) -> float:
+        cost = _REPEAT_COST if route.is_idempotent else _FAILURE_COST
+        return cost * self._loads.failure_rate(place.state)
 
     def _state(self, known: KnownUpstream, plan: ServicePlan) -> UpstreamState:
         engine = plan.engine
@@ -253,5 +272,28 @@
     return known + _WEIGHT * (seen - known)
 
 
-def _score(choice: Choice) -> float:
-    return choice.score_s
+def _cost(choice: Choice) -> float:
+    return choice.cost
+
+
+def _lateness(share: float) -> float:
+    """Returns the cost of a prediction that is this part of the target."""
+    exponent = min((_LATE_AT - share) / _LATE_WIDTH, _MAX_EXPONENT)
+    return _LATE_COST / (1 + exp(exponent)) + _TIME_COST * share
+
+
+def _home_of(prompt: Prompt, places: Sequence[Place]) -> Place | None:
+    """Returns where the shared parts of a prompt are kept.
+
+    All instances agree on it without a word, as far as they agree on the
+    usable upstreams; so nobody reads there what another has had read.
+    """
+    if not prompt.shared or not places:
+        return None
+    subject = prompt.shared[-1].part_id
+    return max(places, key=lambda place: _weight(subject, place))
+
+
+def _weight(subject: str, place: Place) -> int:
+    pair = f'{subject}\0{place.known.record.name}'
+    return xxhash.xxh3_64_intdigest(pair.encode())
--- a/src/masticstage/forwarding/events.py
+++ b/src/masticstage/forwarding/events.py
@@ -31,7 +31,8 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Adds bytes; returns the whole events among them, if any."""
-        whole, boundary, self._tail = (self._tail + chunk).rpartition(_BOUNDARY)
+        whole, boundary, tail = (self._tail + chunk).rpartition(_BOUNDARY)
+        self._tail = tail
         if len(self._tail) > _MAX_EVENT_BYTES:
             raise UpstreamFailedError('engine', 'event without end')
         if not boundary:
@@ -57,7 +58,7 @@
 def _event_id(event: bytes) -> str:
     for line in event.split(b'\n'):
         if line.startswith(_ID_FIELD):
-            return line[len(_ID_FIELD) :].strip().decode('latin-1')
+            return line.removeprefix(_ID_FIELD).strip().decode('latin-1')
     return ''
 
 
--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -192,9 +192,9 @@
             state.peers.pop(peer, None)
         now_s = self._now_s()
         for load in loads:
-            if load.upstream in self._states:
-                told = _PeerLoad(load, now_s)
-                self._states[load.upstream].peers[peer] = told
+            told_of = self._states.get(load.upstream)
+            if told_of is not None:
+                told_of.peers[peer] = _PeerLoad(load, now_s)
 
     def _now_s(self) -> float:
         return self._clock.elapsed().total_seconds()
--- a/src/masticstage/forwarding/requests.py
+++ b/src/masticstage/forwarding/requests.py
@@ -44,6 +44,11 @@
         """Parts that other requests may have in common."""
         return self.parts[:-1]
 
+    @property
+    def own_tokens(self) -> int:
+        """Prompt tokens that no other request has in common."""
+        return self.tokens_in - sum(part.tokens for part in self.shared)
+
 
 NO_PROMPT = Prompt((), 0, 0)
 
--- a/src/masticstage/forwarding/routes.py
+++ b/src/masticstage/forwarding/routes.py
@@ -108,12 +108,10 @@
     services: Mapping[str, ServicePlan]
     limits: CallerLimits = CallerLimits()
 
-    @cached_property
-    def _by_host(self) -> dict[str, list[Route]]:
-        grouped: dict[str, list[Route]] = {}
-        for route in sorted(self.routes, key=_prefix_length, reverse=True):
-            grouped.setdefault(route.host, []).append(route)
-        return grouped
+    def homes_of(self, host: str) -> tuple[frozenset[str], ...]:
+        """Returns the homes of the host's routes that have any."""
+        routes = self._by_host.get(host, ())
+        return tuple({route.homes for route in routes if route.homes})
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path, if any."""
@@ -123,6 +121,13 @@
             None,
         )
 
+    @cached_property
+    def _by_host(self) -> dict[str, list[Route]]:
+        grouped: dict[str, list[Route]] = {}
+        for route in sorted(self.routes, key=_prefix_length, reverse=True):
+            grouped.setdefault(route.host, []).append(route)
+        return grouped
+
 
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
--- a/src/masticstage/forwarding/warmups.py
+++ b/src/masticstage/forwarding/warmups.py
@@ -20,7 +20,9 @@
     """Returns the instance that may send to a cold upstream."""
     return max(
         instances,
-        key=lambda name: xxhash.xxh3_64_intdigest(f'{name}\0{upstream}'.encode()),
+        key=lambda name: xxhash.xxh3_64_intdigest(
+            f'{name}\0{upstream}'.encode()
+        ),
     )
 
 
--- a/src/masticstage/forwarding/wire.py
+++ b/src/masticstage/forwarding/wire.py
@@ -54,10 +54,11 @@
 
 @attrs.frozen
 class EntryQuery:
-    """Where a caller that asks for entries is."""
+    """Where a caller that asks for entries is, and for which host."""
 
     region: str
     data_centre: str
+    host: str
 
 
 @attrs.frozen
--- a/src/masticstage/platform/callers.py
+++ b/src/masticstage/platform/callers.py
@@ -67,9 +67,11 @@
     if path != words.RESOLVE_PATH:
         return None
     fields = parse_qs(query.decode('latin-1'))
-    region = fields.get('Region', [''])[0]
-    # `Zone` is what the product calls a data centre.
-    return EntryQuery(region, fields.get('Zone', [''])[0])
+    region, zone, name = (
+        fields.get(field, [''])[0] for field in ('Region', 'Zone', 'Name')
+    )
+    # `Zone` is what the product calls a data centre; `Name` is a host.
+    return EntryQuery(region, zone, name.lower())
 
 
 def write_entries(addresses: tuple[str, ...]) -> EntryAnswer:
--- a/src/masticstage/platform/store.py
+++ b/src/masticstage/platform/store.py
@@ -75,15 +75,19 @@
             )
         except httpx.HTTPError as error:
             raise PlatformUnavailableError(type(error).__name__) from error
-        if response.status_code == HTTPStatus.GONE:
-            raise HistoryLostError('history')
-        if response.status_code != HTTPStatus.OK:
-            raise PlatformUnavailableError(f'status {response.status_code}')
-        try:
-            fields: _Fields = response.json()
-        except ValueError as error:
-            raise PlatformUnavailableError('malformed answer') from error
-        return fields
+        return _read_fields(response)
+
+
+def _read_fields(response: httpx.Response) -> _Fields:
+    if response.status_code == HTTPStatus.GONE:
+        raise HistoryLostError('history')
+    if response.status_code != HTTPStatus.OK:
+        raise PlatformUnavailableError(f'status {response.status_code}')
+    try:
+        fields: _Fields = response.json()
+    except ValueError as error:
+        raise PlatformUnavailableError('malformed answer') from error
+    return fields
 
 
 def _decode(fields: _Fields, list_name: str) -> News:
--- /dev/null
+++ b/tests/edges/test_gateway.py
@@ -0,0 +1,318 @@
+"""One entry instance over real sockets, with replicas that misbehave."""
+
+from collections import deque
+from contextlib import asynccontextmanager
+
+import attrs
+import pytest
+import trio
+
+from masticstage.clock import SystemClock, milliseconds
+from masticstage.composition import build_gateway
+from masticstage.edges.connections import Connection, Outgoing, connect
+from masticstage.edges.gateway import Gateway
+from masticstage.edges.life import run_gateway
+from masticstage.exceptions import BrokenConnectionError
+from masticstage.forwarding.requests import CallKind
+from masticstage.forwarding.routes import RouteTable
+from standins.replica import Fault, Replica
+from tests.edges.entry import (
+    build_entry_settings,
+    free_addresses,
+    publish_replica,
+    run_briefly,
+)
+from tests.routed import build_route, build_stream_route, build_table
+
+_ID = b'x-request-id'
+
+
+@attrs.define
+class Entry:
+    """A running gateway with two replicas of each service."""
+
+    gateway: Gateway
+    replicas: dict[str, Replica]
+    ids: int = 0
+
+    def break_with(self, *faults: Fault, name: str = '') -> None:
+        """Sets what the replicas of one name do with their next requests."""
+        for key, replica in self.replicas.items():
+            if key.startswith(name):
+                replica.faults = deque(faults)
+
+    def ran(self) -> list[str]:
+        """Returns the ids of all requests that any replica ran."""
+        return [one for each in self.replicas.values() for one in each.ran]
+
+    async def open(self) -> Connection:
+        """Connects as a caller."""
+        address = self.gateway.settings.listen.callers
+        return await connect(address, 1, SystemClock())
+
+    async def ask(self, path, body=b'', *headers):
+        """Sends one request; returns status, headers and the whole body."""
+        status, fields, answer, is_whole = await self.listen(
+            path,
+            body,
+            *headers,
+        )
+        assert is_whole
+        return status, fields, answer
+
+    async def listen(self, path, body=b'', *headers):
+        """Sends one request; returns what came, and whether it is whole."""
+        self.ids += 1
+        connection = await self.open()
+        outgoing = Outgoing(
+            b'POST' if body else b'GET',
+            path,
+            (
+                (b'host', b'shop.example'),
+                (_ID, b'r-%d' % self.ids),
+                (b'x-deadline-ms', b'3000'),
+                *headers,
+            ),
+            body,
+        )
+        await connection.send(outgoing, self.gateway.spawn)
+        head = await connection.read_head()
+        answer, is_whole = b'', False
+        try:
+            while not is_whole:
+                chunk = await connection.read_chunk()
+                answer += chunk
+                is_whole = not chunk
+        except BrokenConnectionError:
+            is_whole = False
+        connection.close()
+        return head.status, dict(head.headers), answer, is_whole
+
+
+@asynccontextmanager
+async def entry(table: RouteTable | None = None):
+    """Runs a gateway and four replicas on loopback."""
+    async with trio.open_nursery() as nursery:
+        replicas = {}
+        records = []
+        for service in ('shop', 'model'):
+            for number in (1, 2):
+                name = f'{service}-{number}'
+                replicas[name] = Replica(name)
+                records.append(
+                    await publish_replica(nursery, replicas[name], service),
+                )
+        settings = build_entry_settings(*free_addresses(5))
+        gateway = build_gateway(settings, SystemClock(), nursery)
+        for record in records:
+            gateway.beliefs.view.take(f'u/{record.name}', record)
+        gateway.beliefs.view.take('c', table or build_table())
+        nursery.start_soon(run_gateway, gateway)
+        await trio.sleep(0.1)
+        yield Entry(gateway, replicas)
+        nursery.cancel_scope.cancel()
+
+
+_PROMPT = (
+    (b'x-token-counts', b'900,50'),
+    (b'x-prompt-prefix', b'a1:800,b2:100'),
+)
+_EVENTS = b''.join(
+    b'id: %d\ndata: piece %d\n\n' % (one, one) for one in range(1, 7)
+)
+
+
+@run_briefly
+async def test_an_answer_comes_back_unchanged():
+    async with entry() as one:
+        status, headers, body = await one.ask(b'/stock/1')
+    assert status == 200
+    assert body.startswith(b'answer of shop-')
+    assert headers[b'x-response-signature'].endswith(b'r-1')
+
+
+@run_briefly
+async def test_a_stream_comes_back_whole():
+    async with entry() as one:
+        status, _, body = await one.ask(b'/ask/1', b'question', *_PROMPT)
+    assert status == 200
+    assert body == _EVENTS
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [
+        Fault.OTHER_ID,
+        Fault.UNSIGNED,
+        Fault.CUT,
+        Fault.RESET,
+        Fault.ERROR,
+        Fault.NOT_RUN,
+        Fault.MISDIRECTED,
+    ],
+)
+def test_a_safe_request_is_answered_by_another_upstream(fault):
+    @run_briefly
+    async def ask():
+        async with entry() as one:
+            one.break_with(fault, name='shop-1')
+            for _ in range(4):
+                status, headers, body = await one.ask(b'/stock/1')
+                assert status == 200
+                signer = headers[b'x-response-signature'].split(b'.')[0]
+                assert body == b'answer of ' + signer
+
+    ask()
+
+
+@pytest.mark.parametrize(
+    ('fault', 'status'),
+    [
+        (Fault.OTHER_ID, 502),
+        (Fault.UNSIGNED, 502),
+        (Fault.CUT, 502),
+        (Fault.RESET, 502),
+        (Fault.ERROR, 500),
+    ],
+)
+def test_an_unsafe_request_runs_once_whatever_breaks(fault, status):
+    @run_briefly
+    async def ask():
+        order = build_route(kind=CallKind.UNSAFE, max_attempts=3)
+        async with entry(build_table(1, order)) as one:
+            one.break_with(fault)
+            answered, _, _ = await one.ask(b'/stock/1', b'order')
+            assert answered == status
+            assert one.ran() == ['r-1']
+
+    ask()
+
+
+@pytest.mark.parametrize('fault', [Fault.NOT_RUN, Fault.MISDIRECTED])
+def test_an_unsafe_request_goes_on_where_it_was_not_run(fault):
+    @run_briefly
+    async def ask():
+        order = build_route(kind=CallKind.UNSAFE)
+        async with entry(build_table(1, order)) as one:
+            one.break_with(fault, name='shop-1')
+            status, _, _ = await one.ask(b'/stock/1', b'order')
+            assert status == 200
+            assert one.ran() == ['r-1']
+
+    ask()
+
+
+@run_briefly
+async def test_a_refusal_says_not_run_only_when_nothing_ran():
+    order = build_route(kind=CallKind.UNSAFE)
+    async with entry(build_table(1, order)) as one:
+        one.break_with(*[Fault.NOT_RUN] * 9)
+        status, headers, _ = await one.ask(b'/stock/1', b'order')
+        assert status == 503
+        assert b'retry-after' in headers
+        assert not one.ran()
+
+
+@pytest.mark.parametrize('fault', [Fault.CUT, Fault.CUT_IN_EVENT])
+def test_a_resumed_stream_is_whole(fault):
+    @run_briefly
+    async def ask():
+        async with entry() as one:
+            one.break_with(fault, name='model-1')
+            for _ in range(3):
+                _, _, body = await one.ask(b'/ask/1', b'question', *_PROMPT)
+                assert body == _EVENTS
+
+    ask()
+
+
+@pytest.mark.parametrize('fault', [Fault.CUT, Fault.CUT_IN_EVENT])
+@pytest.mark.parametrize('is_resumable', [True, False])
+def test_a_stream_that_cannot_go_on_is_visibly_incomplete(fault, is_resumable):
+    @run_briefly
+    async def ask():
+        plan = build_stream_route(is_resumable=is_resumable)
+        async with entry(build_table(1, plan)) as one:
+            one.break_with(fault, fault)
+            _, _, body, is_whole = await one.listen(
+                b'/ask/1',
+                b'question',
+                *_PROMPT,
+            )
+            assert not is_whole
+            assert body
+            assert _EVENTS.startswith(body)
+            assert body.endswith(b'\n\n')
+            assert len(one.ran()) == 1 + is_resumable
+
+    ask()
+
+
+@run_briefly
+async def test_extra_bytes_belong_to_no_request():
+    async with entry() as one:
+        one.break_with(*[Fault.EXTRA] * 4)
+        for number in range(1, 9):
+            status, headers, _ = await one.ask(b'/stock/1')
+            assert status == 200
+            assert headers[_ID] == b'r-%d' % number
+
+
+@run_briefly
+async def test_an_answer_without_length_is_whole_at_a_proper_end():
+    async with entry() as one:
+        one.break_with(Fault.UNFRAMED)
+        status, headers, body = await one.ask(b'/stock/1')
+        assert status == 200
+        assert int(headers[b'content-length']) == len(body)
+
+
+@run_briefly
+async def test_a_caller_that_leaves_ends_the_work_of_its_upstream():
+    async with entry() as one:
+        one.break_with(Fault.SILENT, Fault.SILENT)
+        connection = await one.open()
+        headers = ((b'host', b'shop.example'), (_ID, b'r-1'))
+        outgoing = Outgoing(b'GET', b'/stock/1', headers)
+        await connection.send(outgoing, one.gateway.spawn)
+        await trio.sleep(0.1)
+        assert sum(each.open_requests for each in one.replicas.values()) == 1
+
+        connection.close()
+        await trio.sleep(0.3)
+
+        assert not any(each.open_requests for each in one.replicas.values())
+
+
+@run_briefly
+async def test_the_route_limit_ends_a_wait_in_time():
+    order = build_route(kind=CallKind.UNSAFE, limit=milliseconds(400))
+    async with entry(build_table(1, order)) as one:
+        one.break_with(Fault.SILENT)
+        started = trio.current_time()
+        status, _, _ = await one.ask(b'/stock/1', b'order')
+        assert status == 504
+        assert trio.current_time() - started < 0.9
+
+
+@run_briefly
+async def test_an_unknown_route_is_not_found_and_no_table_is_not_ready():
+    async with entry() as one:
+        status, _, _ = await one.ask(b'/unknown/')
+        assert status == 404
+        one.gateway.beliefs.view._table = None
+        status, _, _ = await one.ask(b'/stock/1')
+        assert status == 503
+
+
+@run_briefly
+async def test_a_long_body_arrives_unchanged():
+    order = build_route(kind=CallKind.UNSAFE)
+    body = bytes(range(256)) * 400
+    async with entry(build_table(1, order)) as one:
+        status, _, _ = await one.ask(b'/stock/1', body)
+        assert status == 200
+        received = [
+            got for each in one.replicas.values() for got in each.bodies
+        ]
+        assert received == [body]
--- /dev/null
+++ b/tests/forwarding/test_budgets.py
@@ -0,0 +1,53 @@
+"""Tests of the shared budget of repeats."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticstage.clock import ManualClock
+from masticstage.forwarding.budgets import BudgetBounds, RepeatBudget
+
+_BOUNDS = BudgetBounds(0.2, timedelta(seconds=10), 56)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.integers(0, 40), st.integers(0, 40)),
+        min_size=1,
+        max_size=60,
+    ),
+)
+def test_four_blind_instances_stay_inside_the_bound_together(steps):
+    clock = ManualClock()
+    budgets = [RepeatBudget(clock, _BOUNDS, 4) for _ in range(4)]
+    requests, repeats = [], []
+    for instance, asked, wanted in steps:
+        clock.advance(timedelta(milliseconds=500))
+        now = clock.elapsed()
+        for _ in range(asked):
+            budgets[instance].note_request('shop')
+            requests.append(now)
+        taken = sum(budgets[instance].try_take('shop') for _ in range(wanted))
+        repeats.extend([now] * taken)
+        start = now - _BOUNDS.window
+        in_window = sum(moment > start for moment in repeats)
+        earned = sum(moment > start for moment in requests)
+        assert in_window <= 0.2 * earned + 56
+
+
+def test_services_have_budgets_of_their_own():
+    budget = RepeatBudget(ManualClock(), _BOUNDS, 56)
+    assert not budget.try_take('shop')
+    for _ in range(10):
+        budget.note_request('shop')
+    assert budget.try_take('shop')
+    assert not budget.try_take('model')
+
+
+def test_the_largest_number_of_instances_seen_holds():
+    budget = RepeatBudget(ManualClock(), _BOUNDS, 2)
+    budget.note_instances(8)
+    left = budget.left('shop')
+    budget.note_instances(1)
+    assert budget.left('shop') == left
--- /dev/null
+++ b/tests/forwarding/test_evidence.py
@@ -0,0 +1,90 @@
+"""Tests of what may be sent once more, on which evidence."""
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticstage.forwarding.evidence import (
+    MAX_TURNED_AWAY,
+    AttemptHistory,
+    Evidence,
+    judge,
+)
+from masticstage.forwarding.requests import CallKind
+from masticstage.forwarding.wire import AnswerFacts
+from tests.routed import build_route, build_stream_route
+
+_UNSAFE = build_route(kind=CallKind.UNSAFE, max_attempts=3)
+_PLAN = build_stream_route(is_resumable=False, max_attempts=3)
+_MAYBE = st.sampled_from([Evidence.MAY_HAVE_RUN, Evidence.FAILED])
+
+
+@pytest.mark.parametrize('route', [_UNSAFE, _PLAN])
+@given(evidence=_MAYBE)
+def test_what_may_run_once_is_never_sent_again(route, evidence):
+    history = AttemptHistory(route)
+    history.record('u-1', Evidence.NOT_RUN)
+    assert history.may_dispatch()
+
+    history.record('u-2', evidence)
+
+    assert not history.may_dispatch()
+
+
+@given(st.lists(st.sampled_from(list(Evidence)), max_size=12))
+def test_a_safe_request_runs_at_most_max_attempts_times(outcomes):
+    history = AttemptHistory(build_route(max_attempts=2))
+    runs = 0
+    for number, evidence in enumerate(outcomes):
+        if not history.may_dispatch():
+            break
+        history.record(f'u-{number}', evidence)
+        runs += evidence not in {Evidence.NOT_SENT, Evidence.NOT_RUN}
+
+    assert runs <= 2
+
+
+def test_a_request_that_is_turned_away_everywhere_is_given_up():
+    history = AttemptHistory(_UNSAFE)
+    for number in range(MAX_TURNED_AWAY):
+        assert history.may_dispatch()
+        history.record(f'u-{number}', Evidence.NOT_RUN)
+
+    assert not history.may_dispatch()
+    assert not history.may_have_run
+
+
+def test_a_refused_connection_does_not_draw_on_the_budget():
+    history = AttemptHistory(_UNSAFE)
+    history.record('u-1', Evidence.NOT_SENT)
+    assert not history.has_arrived
+
+    history.record('u-2', Evidence.NOT_RUN)
+    assert history.has_arrived
+
+
+_SOUND = AnswerFacts(
+    200,
+    belongs=True,
+    is_not_run=False,
+    is_signed=True,
+    is_encoded=False,
+)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'evidence'),
+    [
+        ({}, Evidence.ANSWERED),
+        ({'is_signed': False}, Evidence.MAY_HAVE_RUN),
+        ({'belongs': False}, Evidence.MAY_HAVE_RUN),
+        ({'is_encoded': True}, Evidence.MAY_HAVE_RUN),
+        ({'status': 302}, Evidence.MAY_HAVE_RUN),
+        ({'status': 500}, Evidence.FAILED),
+        ({'status': 503, 'is_not_run': True}, Evidence.NOT_RUN),
+        ({'status': 503}, Evidence.FAILED),
+    ],
+)
+def test_judge_believes_only_a_signed_answer_to_this_request(changes, evidence):
+    assert judge(attrs.evolve(_SOUND, **changes)) is evidence
--- /dev/null
+++ b/tests/forwarding/test_loads.py
@@ -0,0 +1,80 @@
+"""Tests of what is believed about the load and health of upstreams."""
+
+from datetime import timedelta
+
+from masticstage.clock import ManualClock
+from masticstage.forwarding.loads import LoadTable, ReportedLoad, SharedLoad
+from tests.routed import SECOND
+
+
+def _table():
+    clock = ManualClock()
+    clock.advance(100 * SECOND)
+    table = LoadTable(clock)
+    return clock, table, table.state('u-1', 1, 1000)
+
+
+def test_a_fresh_report_is_corrected_by_own_dispatches_since():
+    _, table, state = _table()
+    state.in_flight = 2
+    table.note_report(state, ReportedLoad(5, 1, 6))
+    state.in_flight = 4
+
+    assert table.in_flight(state) == 8
+
+
+def test_an_old_report_gives_way_to_counts():
+    clock, table, state = _table()
+    table.note_report(state, ReportedLoad(5, 1, 6))
+    state.in_flight = 1
+    clock.advance(SECOND)
+
+    assert table.in_flight(state) == 1
+
+
+def test_counts_of_peers_add_up_until_they_are_old():
+    clock, table, state = _table()
+    state.in_flight = 1
+    table.take_shared('p-1', (SharedLoad('u-1', 2, 500),))
+    table.take_shared('p-2', (SharedLoad('u-1', 3, 0),))
+    assert table.in_flight(state) == 6
+    assert table.pending_tokens(state) == 500
+
+    table.take_shared('p-2', ())
+    assert table.in_flight(state) == 3
+
+    clock.advance(3 * SECOND)
+    assert table.in_flight(state) == 1
+
+
+def test_a_new_life_of_an_upstream_starts_without_a_past():
+    _, table, state = _table()
+    state.failure_rate = 1
+
+    assert table.state('u-1', 1) is state
+    assert table.state('u-1', 2).failure_rate == 0
+
+
+def test_failures_count_and_fade_while_an_upstream_is_unused():
+    clock, table, state = _table()
+    for _ in range(10):
+        table.note_outcome(state, is_failure=True)
+    assert table.failure_rate(state) > 0.7
+
+    clock.advance(timedelta(seconds=12))
+    assert table.failure_rate(state) < 0.15
+
+
+def test_a_doubtful_upstream_is_checked_ever_less_often_until_it_is_back():
+    clock, table, state = _table()
+    assert table.doubt(state)
+    assert not table.is_check_due(state)
+    clock.advance(0.3 * SECOND)
+    assert table.is_check_due(state)
+
+    assert not table.doubt(state)
+    clock.advance(0.3 * SECOND)
+    assert not table.is_check_due(state)
+
+    assert table.clear_doubt(state)
+    assert not state.is_doubtful
--- /dev/null
+++ b/tests/forwarding/test_routes.py
@@ -0,0 +1,47 @@
+"""Tests of routes and their lookups."""
+
+from collections import Counter
+
+from masticstage.forwarding.requests import CallKind
+from masticstage.forwarding.routes import Share
+from tests.routed import build_route, build_stream_route, build_table
+
+
+def test_longest_prefix_of_the_host_wins():
+    short = build_route(name='short', path_prefix='/a/')
+    long = build_route(name='long', path_prefix='/a/b/')
+    other = build_route(name='other', path_prefix='/a/b/c/', host='x')
+    table = build_table(1, short, long, other)
+
+    assert table.find('shop.example', '/a/b/c/d') is long
+    assert table.find('shop.example', '/a/c') is short
+
+
+def test_unknown_host_or_path_has_no_route():
+    table = build_table()
+
+    assert table.find('shop.example', '/unknown/') is None
+    assert table.find('unknown.example', '/stock/1') is None
+
+
+def test_split_sends_by_weight_and_the_same_request_to_the_same_service():
+    route = build_route(shares=(Share('a', 90), Share('b', 10)))
+    drawn = Counter(route.service_for(f'r-{number}') for number in range(2000))
+
+    assert 1700 < drawn['a'] < 1890
+    assert drawn['a'] + drawn['b'] == 2000
+    assert route.service_for('r-7') == route.service_for('r-7')
+
+
+def test_only_safe_and_resumable_routes_are_idempotent():
+    assert build_route().is_idempotent
+    assert build_stream_route().is_idempotent
+    assert not build_route(kind=CallKind.UNSAFE).is_idempotent
+    assert not build_stream_route(is_resumable=False).is_idempotent
+
+
+def test_homes_bind_only_where_there_are_any():
+    assert build_route().allows('anywhere')
+    bound = build_route(homes=frozenset(('north',)))
+    assert bound.allows('north')
+    assert not bound.allows('south')
--- /dev/null
+++ b/tests/forwarding/test_view.py
@@ -0,0 +1,116 @@
+"""Tests of what is in force."""
+
+from datetime import timedelta
+
+from masticstage.clock import ManualClock, milliseconds
+from masticstage.forwarding.published import Evacuation, Unreadable
+from masticstage.forwarding.trouble import TroubleWatch
+from masticstage.forwarding.view import FleetView
+from tests.routed import SECOND, build_record, build_table
+
+
+def _names(view):
+    return [known.record.name for known in view.upstreams_of('shop')]
+
+
+def test_a_leaving_upstream_gets_nothing():
+    view = FleetView(ManualClock())
+    view.take('u', build_record())
+    assert _names(view) == ['u-1']
+
+    view.take('u', build_record(is_leaving=True))
+
+    assert not _names(view)
+    assert view.find('u-1') is None
+
+
+def test_an_evacuated_data_centre_gets_nothing_until_it_is_taken_back():
+    view = FleetView(ManualClock())
+    view.take('u', build_record())
+    view.take('e', Evacuation('north-a'))
+    assert not _names(view)
+
+    view.withdraw('e', timedelta())
+
+    assert _names(view) == ['u-1']
+
+
+def test_an_unreadable_record_names_no_upstream_and_disturbs_no_other():
+    view = FleetView(ManualClock())
+    view.take('u', build_record())
+    view.take('v', build_record('u-2'))
+
+    view.take('u', Unreadable('bytes'))
+
+    assert _names(view) == ['u-2']
+
+
+def test_an_unreadable_configuration_leaves_the_old_one_in_force():
+    view = FleetView(ManualClock())
+    view.take('c', build_table(4))
+    view.take('c', Unreadable('bytes'))
+    assert view.table is not None
+    assert view.table.version == 4
+
+
+def test_an_older_version_does_not_come_back():
+    view = FleetView(ManualClock())
+    view.take('c', build_table(4))
+    view.take('c', build_table(3))
+    assert view.table is not None
+    assert view.table.version == 4
+
+
+def test_an_absence_is_believed_at_once_while_the_platform_is_sound():
+    clock = ManualClock()
+    view, trouble = FleetView(clock), TroubleWatch(clock)
+    view.take('u', build_record())
+
+    view.withdraw('u', trouble.believe_at())
+
+    assert not _names(view)
+
+
+def test_an_absence_is_not_believed_until_the_platform_is_back_for_a_while():
+    clock = ManualClock()
+    view, trouble = FleetView(clock), TroubleWatch(clock)
+    view.take('u', build_record())
+    trouble.note_failure()
+    view.withdraw('u', trouble.believe_at())
+    clock.advance(20 * SECOND)
+    assert not view.believe_absences(trouble.believe_at())
+    assert _names(view) == ['u-1']
+
+    trouble.note_answer()
+    assert not view.believe_absences(trouble.believe_at())
+    clock.advance(3 * SECOND)
+
+    assert view.believe_absences(trouble.believe_at()) == ['u-1']
+    assert not _names(view)
+
+
+def test_an_entry_that_comes_back_ends_its_absence():
+    clock = ManualClock()
+    view, trouble = FleetView(clock), TroubleWatch(clock)
+    view.take('u', build_record())
+    trouble.note_failure()
+    view.withdraw('u', trouble.believe_at())
+    trouble.note_answer()
+
+    view.take('u', build_record())
+    clock.advance(30 * SECOND)
+
+    assert not view.believe_absences(trouble.believe_at())
+    assert _names(view) == ['u-1']
+
+
+def test_a_record_tells_until_when_an_upstream_is_cold():
+    clock = ManualClock()
+    clock.advance(SECOND)
+    view = FleetView(clock)
+    view.take('u', build_record(cold_for=milliseconds(1500)))
+
+    known = view.find('u-1')
+
+    assert known is not None
+    assert known.cold_until == milliseconds(2500)
--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,89 @@
+"""Tests of the formats of callers."""
+
+import json
+from datetime import timedelta
+
+import pytest
+
+from masticstage.exceptions import InvalidRequestError
+from masticstage.forwarding.requests import NO_PROMPT, PromptPart
+from masticstage.forwarding.wire import EntryQuery, RawRequest
+from masticstage.platform import callers
+
+_HEADERS = (
+    (b'host', b'Ficu95.example:8144'),
+    (b'x-request-id', b'9c41d07be2a35f68'),
+    (b'x-model', b'm'),
+    (b'x-token-counts', b'1460,80'),
+    (b'x-prompt-prefix', b'5c1e07a2:800,91bd3f06:410,e4402b7d:250'),
+    (b'x-deadline-ms', b'8000'),
+)
+
+
+def _read(*headers, target=b'/lohu930/2f?a=b%2Fc'):
+    raw = RawRequest(b'POST', target, headers, b'body', timedelta(seconds=3))
+    return callers.read_request(raw)
+
+
+def test_a_request_is_read_with_its_prompt_and_allowance():
+    request = _read(*_HEADERS)
+
+    assert request.request_id == '9c41d07be2a35f68'
+    assert request.host == 'ficu95.example'
+    assert request.path == '/lohu930/2f'
+    assert request.target == b'/lohu930/2f?a=b%2Fc'
+    assert request.allowance == timedelta(seconds=8)
+    assert request.prompt.tokens_in == 1460
+    assert request.prompt.shared[-1] == PromptPart('91bd3f06', 410)
+
+
+@pytest.mark.parametrize(
+    'name',
+    [b'x-hold', b'x-pin-ms', b'x-kv-backup', b'kv-from', b'x-target-instance'],
+)
+def test_what_the_system_sets_is_not_passed_on(name):
+    request = _read(*_HEADERS, (name, b'forged'))
+    assert name not in dict(request.headers)
+
+
+def test_what_concerns_one_connection_is_not_passed_on():
+    named = (b'connection', b'close, X-Secret')
+    request = _read(*_HEADERS, named, (b'x-secret', b'1'), (b'te', b'x'))
+    assert {b'connection', b'x-secret', b'te'}.isdisjoint(dict(request.headers))
+    assert dict(request.headers)[b'x-model'] == b'm'
+
+
+def test_a_request_without_id_is_invalid():
+    with pytest.raises(InvalidRequestError):
+        _read((b'host', b'x'))
+
+
+@pytest.mark.parametrize('text', [b'soon', b'', b'1e400'])
+def test_a_bad_deadline_is_invalid(text):
+    with pytest.raises(InvalidRequestError):
+        _read((b'x-request-id', b'1'), (b'x-deadline-ms', text))
+
+
+@pytest.mark.parametrize('counts', [b'many', b'1', b'1,2,3'])
+def test_a_bad_prompt_only_costs_placement(counts):
+    request = _read((b'x-request-id', b'1'), (b'x-token-counts', counts))
+    assert request.prompt == NO_PROMPT
+    assert dict(request.headers)[b'x-token-counts'] == counts
+
+
+def test_a_refusal_says_when_to_come_back():
+    headers = dict(callers.refusal_headers('1', timedelta(milliseconds=250)))
+    assert headers[b'retry-after'] == b'0.250'
+    assert headers[b'x-request-id'] == b'1'
+
+
+def test_the_question_for_entries():
+    target = b'/-/resolve?Name=a.example&Region=dalmacija&Zone=split-a'
+    query = callers.read_entry_query(target)
+    assert query == EntryQuery('dalmacija', 'split-a', 'a.example')
+    assert callers.read_entry_query(b'/-/other') is None
+
+
+def test_the_list_of_entries():
+    answer = callers.write_entries(('10.1.0.35:8144',))
+    assert json.loads(answer.body)['Addresses'] == ['10.1.0.35:8144']
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,165 @@
+"""Tests of decoding the platform's records."""
+
+import json
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticstage.forwarding.published import (
+    Evacuation,
+    Unreadable,
+    Unrelated,
+    UpstreamRecord,
+)
+from masticstage.forwarding.requests import CallKind
+from masticstage.forwarding.routes import RouteTable
+from masticstage.platform.records import record_decoder
+
+_DECODE = record_decoder({'split-a': 'dalmacija'})
+_SERVER = {
+    'Service': 'huvo11a',
+    'Address': '10.128.0.9:8080',
+    'Zone': 'split-a',
+    'Version': 'v1',
+    'Slots': 64,
+    'State': 'ready',
+    'WarmupLeftMs': 0,
+    'Sequence': 4,
+}
+_CONFIG = {
+    'Version': 7,
+    'Routes': [
+        {
+            'Name': 'r-1',
+            'Host': 'Ficu95.example',
+            'PathPrefix': '/pufi791/',
+            'Kind': 'streaming',
+            'TimeoutMs': 5000,
+            'TargetLatencyMs': 800,
+            'Priority': 0,
+            'Service': 'huvo11a',
+            'MaxAttempts': 2,
+            'SessionAffinity': True,
+            'Resumable': True,
+            'GapTargetMs': 400,
+            'AllowedRegions': ['dalmacija'],
+        },
+        {
+            'Name': 'r-2',
+            'Host': 'ficu95.example',
+            'PathPrefix': '/lohu930/',
+            'Kind': 'unsafe',
+            'TimeoutMs': 1500,
+            'TrafficSplit': [
+                {'Service': 'huvo11a', 'Weight': 90},
+                {'Service': 'wuno96b', 'Weight': 10},
+            ],
+        },
+    ],
+    'Services': [
+        {
+            'Name': 'huvo11a',
+            'HealthPath': '/health',
+            'MaxConnections': 370,
+            'WarmupPerS': 3.5,
+            'Engine': {'Slots': 64, 'KvCapacity': 360066},
+        },
+        {'Name': 'wuno96b', 'HealthPath': '/health', 'MaxConnections': 110},
+    ],
+    'Limits': {
+        'MaxHeaderBytes': 16384,
+        'MaxBodyBytes': 4194304,
+        'HeaderTimeoutMs': 3000,
+        'IdleTimeoutMs': 15000,
+    },
+}
+
+
+def _decode(key, fields):
+    return _DECODE(key, json.dumps(fields).encode())
+
+
+def test_a_configuration_becomes_routes_services_and_limits():
+    table = _decode('op/config', _CONFIG)
+
+    assert isinstance(table, RouteTable)
+    assert table.version == 7
+    route = table.find('ficu95.example', '/pufi791/x')
+    assert route is not None
+    assert route.kind is CallKind.STREAMING
+    assert route.is_idempotent
+    assert route.limit == timedelta(seconds=5)
+    assert route.homes == {'dalmacija'}
+    split = table.find('ficu95.example', '/lohu930/x')
+    assert split is not None
+    assert [share.weight for share in split.shares] == [90, 10]
+    engine = table.services['huvo11a'].engine
+    assert engine is not None
+    assert engine.memory_tokens == 360066
+    assert table.services['wuno96b'].engine is None
+
+
+def test_an_upstream_is_decoded_with_its_region_and_warm_up():
+    record = _decode('servers/i-1', _SERVER | {'WarmupLeftMs': 1200})
+
+    assert isinstance(record, UpstreamRecord)
+    assert record.name == 'i-1'
+    assert record.region == 'dalmacija'
+    assert record.cold_for == timedelta(milliseconds=1200)
+    assert not record.is_leaving
+
+
+def test_a_draining_upstream_is_leaving():
+    record = _decode('servers/i-1', _SERVER | {'State': 'draining'})
+    assert isinstance(record, UpstreamRecord)
+    assert record.is_leaving
+
+
+def test_an_evacuation_names_its_data_centre():
+    assert _decode('op/evacuate/split-a', {}) == Evacuation('split-a')
+
+
+def test_other_keys_say_nothing():
+    assert _decode('op/other', {}) == Unrelated()
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'State': 'unknown'},
+        {'Zone': 'elsewhere'},
+        {'Address': 'no port'},
+        {'Address': 5},
+        {'Slots': 'many'},
+        {'Service': None},
+        {'WarmupLeftMs': 'soon'},
+    ],
+)
+def test_a_record_of_another_writer_is_unreadable(changes):
+    assert isinstance(_decode('servers/i-1', _SERVER | changes), Unreadable)
+
+
+@pytest.mark.parametrize('missing', ['Service', 'Address', 'Zone', 'State'])
+def test_a_record_with_a_missing_field_is_unreadable(missing):
+    fields = {key: field for key, field in _SERVER.items() if key != missing}
+    assert isinstance(_decode('servers/i-1', fields), Unreadable)
+
+
+@given(st.binary(max_size=40), st.sampled_from(['op/config', 'servers/i-1']))
+def test_no_bytes_break_the_decoder(body, key):
+    assert isinstance(_DECODE(key, body), Unreadable)
+
+
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+        max_leaves=6,
+    ),
+    st.sampled_from(sorted(_CONFIG)),
+)
+def test_no_field_breaks_the_decoder(field, key):
+    decoded = _decode('op/config', _CONFIG | {key: field})
+    assert isinstance(decoded, (RouteTable, Unreadable))
--- /dev/null
+++ b/tests/platform/test_upstreams.py
@@ -0,0 +1,84 @@
+"""Tests of the formats of upstreams."""
+
+from datetime import timedelta
+
+import pytest
+
+from masticstage.clock import milliseconds
+from masticstage.forwarding.loads import ReportedLoad
+from masticstage.forwarding.wire import DispatchOrder
+from masticstage.platform import upstreams
+from tests.routed import build_prompt, build_request
+
+_ORDER = DispatchOrder('i-7', milliseconds(1234.9), 1)
+
+
+def test_a_dispatch_names_its_upstream_and_what_time_is_left():
+    headers = dict(upstreams.order_headers(build_request(), _ORDER))
+    assert headers[b'x-target-instance'] == b'i-7'
+    assert headers[b'x-deadline-ms'] == b'1234'
+    assert b'x-request-priority' not in headers
+
+
+def test_engines_are_told_the_priority():
+    request = build_request(prompt=build_prompt())
+    headers = dict(upstreams.order_headers(request, _ORDER))
+    assert headers[b'x-request-priority'] == b'1'
+
+
+def test_a_resumed_stream_says_where_to_go_on():
+    request = build_request(last_event_id='3')
+    assert dict(upstreams.order_headers(request, _ORDER))[b'last-event-id'] == (
+        b'3'
+    )
+    later = DispatchOrder('i-7', timedelta(seconds=1), 1, '5')
+    headers = upstreams.order_headers(request, later)
+    assert [text for name, text in headers if name == b'last-event-id'] == [
+        b'5',
+    ]
+
+
+def test_a_whole_answer_is_read():
+    facts = upstreams.read_answer(
+        200,
+        (
+            (b'x-request-id', b'r-1'),
+            (b'x-response-signature', b's'),
+            (b'x-server-load', b'3,0,8'),
+        ),
+        'r-1',
+    )
+    assert facts.belongs
+    assert facts.is_signed
+    assert not facts.is_not_run
+    assert facts.load == ReportedLoad(3, 0, 8)
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers'),
+    [(503, ((b'x-not-executed', b'1'),)), (421, ())],
+)
+def test_an_upstream_says_that_it_ran_nothing(status, headers):
+    assert upstreams.read_answer(status, headers, 'r-1').is_not_run
+
+
+def test_an_answer_to_another_request_does_not_belong():
+    headers = ((b'x-request-id', b'r-2'),)
+    assert not upstreams.read_answer(200, headers, 'r-1').belongs
+
+
+def test_an_encoded_body_is_not_the_upstreams():
+    headers = ((b'content-encoding', b'gzip'),)
+    assert upstreams.read_answer(200, headers, 'r-1').is_encoded
+
+
+@pytest.mark.parametrize('text', [b'', b'1,2', b'a,b,c'])
+def test_a_load_that_cannot_be_read_is_none(text):
+    headers = ((b'x-server-load', text),)
+    assert upstreams.read_answer(200, headers, 'r').load is None
+
+
+def test_a_warm_up_is_read():
+    headers = ((b'x-warmup-ms', b'1500'),)
+    facts = upstreams.read_answer(200, headers, '')
+    assert facts.cold_for == milliseconds(1500)
--- /dev/null
+++ b/tests/routed.py
@@ -0,0 +1,155 @@
+"""Builders of test data for routed requests."""
+
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+import attrs
+
+from masticstage.clock import ManualClock, milliseconds
+from masticstage.forwarding.choice import Chooser
+from masticstage.forwarding.loads import LoadTable
+from masticstage.forwarding.published import UpstreamRecord
+from masticstage.forwarding.requests import (
+    NO_PROMPT,
+    CallerRequest,
+    CallKind,
+    Prompt,
+    PromptPart,
+)
+from masticstage.forwarding.routes import (
+    Engine,
+    Route,
+    RouteTable,
+    ServicePlan,
+    Share,
+)
+from masticstage.forwarding.view import FleetView
+from masticstage.membership import Member, MemberTable
+from masticstage.tokens import MemberId
+
+SECOND = timedelta(seconds=1)
+
+
+def build_route(**changes: Any) -> Route:
+    """Returns a safe route to the service `shop`."""
+    route = Route(
+        'look-up',
+        'shop.example',
+        '/stock/',
+        CallKind.SAFE,
+        milliseconds(1500),
+        milliseconds(300),
+        (Share('shop', 1),),
+        max_attempts=2,
+    )
+    return attrs.evolve(route, **changes)
+
+
+def build_stream_route(**changes: Any) -> Route:
+    """Returns a resumable route to the engines of `model`."""
+    route = build_route(
+        kind=CallKind.STREAMING,
+        path_prefix='/ask/',
+        shares=(Share('model', 1),),
+        is_resumable=True,
+        longest_pause=milliseconds(400),
+        limit=milliseconds(5000),
+    )
+    return attrs.evolve(route, **changes)
+
+
+def build_table(version: int = 1, *routes: Route) -> RouteTable:
+    """Returns a configuration with an application and an engine service."""
+    plans = (
+        ServicePlan('shop', '/health', 100),
+        ServicePlan('model', '/health', 300, 3.5, Engine(64, 360_000)),
+    )
+    return RouteTable(
+        version,
+        routes or (build_route(), build_stream_route()),
+        {plan.name: plan for plan in plans},
+    )
+
+
+def build_record(name: str = 'u-1', **changes: Any) -> UpstreamRecord:
+    """Returns a ready upstream of `shop` in the north."""
+    record = UpstreamRecord(
+        name,
+        'shop',
+        '10.0.0.1:80',
+        'north-a',
+        'north',
+        6,
+    )
+    return attrs.evolve(record, **changes)
+
+
+def build_request(**changes: Any) -> CallerRequest:
+    """Returns a stock look-up."""
+    request = CallerRequest(
+        'r-1',
+        b'GET',
+        b'/stock/1',
+        'shop.example',
+        '/stock/1',
+        (),
+        b'',
+        milliseconds(3000),
+        timedelta(),
+    )
+    return attrs.evolve(request, **changes)
+
+
+def build_prompt(shared: str = 'a1', tokens: int = 13_000) -> Prompt:
+    """Returns a prompt of one shared and one own part."""
+    own = PromptPart('ff', 500)
+    return Prompt((PromptPart(shared, tokens), own), tokens + 500, 100)
+
+
+def build_member(name: str, region: str = 'north') -> Member:
+    """Returns a live instance in the first data centre of a region."""
+    return Member(
+        MemberId(name, 1),
+        f'{region}-a',
+        region,
+        f'{name}:1',
+        f'{name}:2',
+    )
+
+
+@attrs.define
+class World:
+    """One instance's beliefs, with a clock that moves when told."""
+
+    clock: ManualClock
+    view: FleetView
+    loads: LoadTable
+    members: MemberTable
+    chooser: Chooser
+
+    def add(self, record: UpstreamRecord) -> None:
+        """Publishes an upstream."""
+        self.view.take(f'u/{record.name}', record)
+
+    def advance(self, seconds: float) -> None:
+        """Moves the clock forward."""
+        self.clock.advance(timedelta(seconds=seconds))
+
+
+def build_world(*others: Member) -> World:
+    """Returns the beliefs of an instance in the north, with peers."""
+    clock = ManualClock()
+    clock.advance(timedelta(seconds=100))
+    view = FleetView(clock)
+    loads = LoadTable(clock)
+    members = MemberTable(clock, build_member('own'), timedelta(seconds=5))
+    members.merge(others)
+    view.take('c', build_table())
+    chooser = Chooser(clock, Random(1), view, loads, members)
+    return World(clock, view, loads, members, chooser)
+
+
+def no_prompt() -> Prompt:
+    """Returns the prompt of a request to an application."""
+    return NO_PROMPT
