Read settings again on SIGHUP; metrics address; refresh after a pause; shorter drain

A standstill refreshed the view from peers only. Change: a drain lasts 1.4 s unless requests are open; a pause ends with a read of the platform; seeds and bounds are read again; levels on the metrics address.

--- a/src/masticstage/composition.py
+++ b/src/masticstage/composition.py
@@ -17,6 +17,7 @@
 from masticstage.edges.connections import Pool
 from masticstage.edges.decision_log import DecisionLog
 from masticstage.edges.gateway import Activity, Beliefs, Gateway, Links
+from masticstage.edges.reload import SettingsFile
 from masticstage.entrysettings_schema import EntrySettings
 from masticstage.forwarding.budgets import BudgetBounds, RepeatBudget
 from masticstage.forwarding.choice import Chooser
@@ -137,15 +138,16 @@
 
 
 def build_gateway(
-    settings: EntrySettings,
+    settings_file: SettingsFile,
     clock: Clock,
     nursery: trio.Nursery,
 ) -> Gateway:
     """Wires the parts of an entry instance on the users' platform."""
+    settings = settings_file.settings
     region_of = {place.data_centre: place.region for place in settings.places}
     own = settings.instance
     return Gateway(
-        settings,
+        settings_file,
         clock,
         build_wire(region_of),
         _build_beliefs(settings, clock),
--- a/src/masticstage/edges/entrance.py
+++ b/src/masticstage/edges/entrance.py
@@ -53,4 +53,15 @@
     reply: Reply,
 ) -> None:
     """Returns counters and latency percentiles in the text format."""
+    show = gateway.metrics.show
+    beliefs = gateway.beliefs
+    table = beliefs.view.table
+    show('open_requests', gateway.activity.open_requests)
+    show('published_revision', beliefs.image.revision)
+    show('configuration_version', table.version if table else 0)
+    show('platform_in_trouble', beliefs.trouble.is_in_trouble)
+    show('live_instances', gateway.live_count())
+    show('upstream_connections_opened', gateway.links.upstreams.opened)
+    for service in table.services if table else ():
+        show(f'repeats_left.{service}', beliefs.budget.left(service))
     await reply.whole(HTTPStatus.OK, _TEXT, gateway.metrics.render())
--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -15,6 +15,7 @@
 from masticstage.drain import Drain
 from masticstage.edges.connections import Pool
 from masticstage.edges.decision_log import DecisionLog
+from masticstage.edges.reload import SettingsFile
 from masticstage.entrysettings_schema import EntrySettings
 from masticstage.forwarding.budgets import RepeatBudget
 from masticstage.forwarding.choice import Chooser
@@ -86,7 +87,7 @@
 class Gateway:
     """One running entry instance."""
 
-    settings: EntrySettings
+    settings_file: SettingsFile
     clock: Clock
     wire: Wire
     beliefs: Beliefs
@@ -98,6 +99,11 @@
     metrics: Metrics
     nursery: trio.Nursery
 
+    @property
+    def settings(self) -> EntrySettings:
+        """The settings in force."""
+        return self.settings_file.settings
+
     @property
     def name(self) -> str:
         """Name of this instance."""
--- a/src/masticstage/edges/life.py
+++ b/src/masticstage/edges/life.py
@@ -7,12 +7,21 @@
 
 import trio
 
+from masticstage.documents import Faults
 from masticstage.edges.checks import check_doubtful
-from masticstage.edges.entrance import answer_entries, answer_readiness
+from masticstage.edges.entrance import (
+    answer_entries,
+    answer_metrics,
+    answer_readiness,
+)
 from masticstage.edges.exchanges import run_exchanges, tell_all
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.listeners import Reply, ServerConnection, listen
-from masticstage.edges.records import believe_absences, follow_records
+from masticstage.edges.records import (
+    believe_absences,
+    follow_records,
+    refresh,
+)
 from masticstage.edges.relays import serve_peer
 from masticstage.edges.serving import serve_caller
 from masticstage.forwarding.routes import CallerLimits
@@ -21,8 +30,11 @@
 #: Period of the ticks by which a standstill of the process is noticed.
 _TICK_S: Final = 0.1
 _POLL_S: Final = 0.1
-#: Least length of a drain: callers keep a list of entries for this long.
-_LEAST_DRAIN_S: Final = 4.0
+#: Pause between two looks at the settings file.
+_SETTINGS_S: Final = 1.0
+#: Least length of a drain: callers keep a list of entries for a second. When
+#: instances are replaced in turn, a longer one has several out at once.
+_LEAST_DRAIN_S: Final = 1.4
 #: Part of the grace after which the process ends whatever is open.
 _GRACE_SHARE: Final = 0.95
 #: Bounds on messages of other instances: a relayed body and its headers.
@@ -45,6 +57,7 @@
         check_doubtful,
         run_exchanges,
         _discard_connections,
+        _watch_settings,
     ):
         nursery.start_soon(_keep_running, gateway, task)
     for address, answer in (
@@ -53,6 +66,9 @@
         (listen_on.entries, answer_entries),
     ):
         await nursery.start(_serve, gateway, address, answer, _PEER_LIMITS)
+    if listen_on.metrics:
+        serve_metrics = partial(_serve, gateway, listen_on.metrics)
+        await nursery.start(serve_metrics, answer_metrics, _PEER_LIMITS)
     await nursery.start(_serve, gateway, listen_on.callers, serve_caller, None)
     await _drained(gateway)
     gateway.log.record('stopped', open=gateway.activity.open_requests)
@@ -95,7 +111,9 @@
     with trio.open_signal_receiver(*caught) as signals:
         async for number in signals:
             gateway.log.record('signal', name=signal.Signals(number).name)
-            if number != signal.SIGHUP:
+            if number == signal.SIGHUP:
+                _reload(gateway)
+            else:
                 gateway.drain.request()
 
 
@@ -105,11 +123,26 @@
         if gateway.pause.tick():
             gateway.log.record('paused')
             await tell_all(gateway)
-            await trio.sleep(_TICK_S)
+            await refresh(gateway)
             gateway.pause.reset()
         await trio.sleep(_TICK_S)
 
 
+async def _watch_settings(gateway: Gateway) -> None:
+    """Reads the settings again when their file has changed."""
+    while True:
+        await trio.sleep(_SETTINGS_S)
+        if gateway.settings_file.has_changed():
+            _reload(gateway)
+
+
+def _reload(gateway: Gateway) -> None:
+    def log(event: str, faults: Faults) -> None:
+        gateway.log.record(event, faults=[str(fault) for fault in faults])
+
+    gateway.settings_file.reload(log)
+
+
 async def _discard_connections(gateway: Gateway) -> None:
     while True:
         await trio.sleep(1)
--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -13,6 +13,8 @@
 _WATCH_S: Final = 3.0
 #: Pause after a failed call; the platform's rate is shared by all instances.
 _RETRY_S: Final = 0.4
+#: Time for the refresh of the view after a standstill.
+_REFRESH_S: Final = 0.6
 #: Pause between two looks at absences that are not believed yet.
 _ABSENCE_S: Final = 0.2
 
@@ -57,6 +59,18 @@
             await trio.sleep(_RETRY_S)
 
 
+async def refresh(gateway: Gateway) -> None:
+    """Asks the platform and all peers at once what has changed."""
+    with trio.move_on_after(_REFRESH_S):
+        revision = gateway.beliefs.image.revision
+        try:
+            news = await gateway.links.store.watch(revision, 0)
+        except (HistoryLostError, PlatformUnavailableError) as error:
+            gateway.log.record('refresh_failed', reason=str(error))
+        else:
+            take_news(gateway, news, 'platform', is_sound=True)
+
+
 async def believe_absences(gateway: Gateway) -> None:
     """Drops records that stayed away after the platform's return."""
     while True:
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -178,7 +178,7 @@
         gateway.beliefs.chooser.note_cold_dispatch(choice)
     order = DispatchOrder(
         choice.upstream,
-        service.remaining,
+        service.remaining - gateway.beliefs.chooser.one_way(place),
         task.route.priority,
         service.framer.last_id,
     )
--- a/src/masticstage/entry_program.py
+++ b/src/masticstage/entry_program.py
@@ -12,10 +12,9 @@
 from masticstage.check_program import print_faults
 from masticstage.clock import SystemClock
 from masticstage.composition import build_gateway
-from masticstage.documents import read_toml, structure
 from masticstage.edges.decision_log import unblock_output
 from masticstage.edges.life import run_gateway
-from masticstage.entrysettings_schema import EntrySettings
+from masticstage.edges.reload import SettingsFile, load_entry_settings
 from masticstage.exits import Exit
 
 _SETTINGS: Final = 'MASTICSTAGE_SETTINGS'
@@ -30,21 +29,19 @@
 
     """
     path = settings or os.environ.get(_SETTINGS, '')
-    typed = read_toml(Path(path)).bind(
-        lambda document: structure(document, path, EntrySettings),
-    )
-    match typed:
+    match load_entry_settings(Path(path)):
         case Success(loaded):
             unblock_output()
-            trio.run(_run, loaded)
+            trio.run(_run, SettingsFile(Path(path), loaded))
         case Failure(faults):
             print_faults(faults)
             sys.exit(Exit.BAD_INPUT)
 
 
-async def _run(settings: EntrySettings) -> None:
+async def _run(settings_file: SettingsFile) -> None:
     async with trio.open_nursery() as nursery:
-        await run_gateway(build_gateway(settings, SystemClock(), nursery))
+        gateway = build_gateway(settings_file, SystemClock(), nursery)
+        await run_gateway(gateway)
 
 
 def main() -> None:
--- a/src/masticstage/entrysettings_schema.py
+++ b/src/masticstage/entrysettings_schema.py
@@ -15,12 +15,13 @@
 
 @attrs.frozen
 class EntryListen:
-    """Addresses (host:port) of callers, readiness, peers, entries."""
+    """Addresses (host:port) of callers, readiness, peers, entries, metrics."""
 
     callers: str
     readiness: str
     peers: str
     entries: str
+    metrics: str = ''
 
 
 @attrs.frozen
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Collection, Iterator, Sequence
+from datetime import timedelta
 from math import exp
 from random import Random
 from typing import Final, final
@@ -146,6 +147,12 @@
         """Notes a request that goes to a cold upstream."""
         choice.place.state.cold_sent_at_s = self._now_s()
 
+    def one_way(self, place: Place) -> timedelta:
+        """Returns the time that a request takes to a peer's region."""
+        if place.via is None:
+            return timedelta()
+        return timedelta(seconds=self._hop_s(place.via.region) / 2)
+
     def is_cold(self, known: KnownUpstream) -> bool:
         """Tells whether an upstream is still warming up."""
         return known.cold_until > self._clock.elapsed()
--- a/src/masticstage/metrics.py
+++ b/src/masticstage/metrics.py
@@ -26,6 +26,7 @@
         """Creates a registry of its own, so that tests can have several."""
         self._registry = CollectorRegistry()
         self._histograms: dict[str, HdrHistogram] = {}
+        self._levels: dict[str, float] = {}
         self._events = Counter(
             'masticstage_events',
             'Events by name.',
@@ -38,6 +39,10 @@
         """Counts an event."""
         self._events.labels(event).inc(amount)
 
+    def show(self, name: str, level: float) -> None:
+        """Sets a level that goes up and down."""
+        self._levels[name] = level
+
     def record(self, name: str, duration: timedelta) -> None:
         """Adds a duration to a histogram."""
         histogram = self._histograms.get(name)
@@ -60,7 +65,14 @@
                     [name, str(percentile)],
                     microseconds / _US_PER_S,
                 )
-        return [family]
+        levels = GaugeMetricFamily(
+            'masticstage_level',
+            'Levels of what is held or believed now.',
+            labels=['name'],
+        )
+        for name, level in self._levels.items():
+            levels.add_metric([name], level)
+        return [family, levels]
 
     def render(self) -> bytes:
         """Returns all measurements in the text format."""
--- a/tests/edges/entry.py
+++ b/tests/edges/entry.py
@@ -2,9 +2,11 @@
 
 import socket
 from functools import partial, wraps
+from pathlib import Path
 
 import trio
 
+from masticstage.edges.reload import SettingsFile
 from masticstage.entrysettings_schema import (
     EntryBounds,
     EntryInstance,
@@ -50,15 +52,16 @@
     peers: str,
     entries: str,
     store: str,
-) -> EntrySettings:
+) -> SettingsFile:
     """Returns the settings of an instance in the north."""
-    return EntrySettings(
+    settings = EntrySettings(
         EntryInstance('own', 'north-a', 'north', '127.0.0.1'),
         EntryListen(callers, readiness, peers, entries),
         EntryStore(store),
         (EntryPlace('north-a', 'north'), EntryPlace('south-a', 'south')),
         EntryBounds(8, 0.2, 10, 56),
     )
+    return SettingsFile(Path('no-file.toml'), settings)
 
 
 async def publish_replica(
