Predict by priority, count relayed work once, break silent streams by proof

Work sent through a peer was counted by the sender and by the peer, and urgent prompts were taken to wait for all others. Resumable streams that paused for 1.2 s were broken although their upstream worked on, and seldom found another. Change: own and relayed occupation are counted apart, unread tokens by priority (in the exchange too); a silent stream is broken only when a health check of its upstream fails or its peer is suspected.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 CODE := src standins bench tools tests
 
-.PHONY: setup run serve test check unit prove prove-checks measure capacity generate format clean
+.PHONY: setup run run-platform serve test check unit prove prove-checks measure capacity generate format clean
 
 setup: $(READY)
 
@@ -20,6 +20,10 @@
 run: $(READY)
 	$(BIN)/python -m bench.run --seed=$(SEED)
 
+# The same over stand-ins of the users' platform.
+run-platform: $(READY)
+	$(BIN)/python -m bench.run_platform --seed=$(SEED)
+
 # Keeps a deployment running for trials by hand; Ctrl-C stops it.
 serve: $(READY)
 	$(BIN)/python -m bench.serve
--- /dev/null
+++ b/bench/platform_fleet.py
@@ -0,0 +1,225 @@
+"""Entry instances over stand-ins of the users' platform, as processes."""
+
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, Final, final
+
+import attrs
+import httpx
+import trio
+
+from bench.ports import free_ports, is_success, wait_for_port
+
+#: Data centres and their regions, as the smaller of the users' sites.
+PLACES: Final = (
+    ('north-a', 'north'),
+    ('south-a', 'south'),
+    ('east-a', 'east'),
+)
+HOST: Final = 'shop.example'
+_READY_TIMEOUT_S: Final = 30.0
+_STOP_TIMEOUT_S: Final = 12.0
+_POLL_S: Final = 0.05
+_ADDRESSES: Final = ('callers', 'readiness', 'peers', 'entries', 'metrics')
+
+
+@final
+@attrs.define(eq=False)
+class PlatformFleet:
+    """Addresses and processes of a fleet that runs."""
+
+    folder: Path
+    store: str
+    listen: dict[str, dict[str, str]]
+    replicas: dict[str, str]
+    processes: dict[str, trio.Process] = attrs.field(factory=dict)
+
+    async def start(self, name: str, *command: str) -> None:
+        """Starts a process with its output in a file of its name."""
+        with (self.folder / f'{name}.log').open('wb') as log:
+            self.processes[name] = await trio.lowlevel.open_process(
+                [sys.executable, '-m', *command],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    async def put(self, key: str, document: object) -> None:
+        """Publishes a record."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            answer = await client.post(
+                f'http://{self.store}/control/put',
+                json={'key': key, 'document': document},
+            )
+            answer.raise_for_status()
+
+    async def stop(self) -> dict[str, int]:
+        """Stops all processes; returns the exit codes by name."""
+        for process in self.processes.values():
+            process.terminate()
+        with trio.move_on_after(_STOP_TIMEOUT_S):
+            for process in self.processes.values():
+                await process.wait()
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        return {
+            name: process.returncode or 0
+            for name, process in self.processes.items()
+        }
+
+
+@asynccontextmanager
+async def running_platform(folder: Path) -> AsyncIterator[PlatformFleet]:
+    """Runs a store, six replicas and four instances until the end."""
+    folder.mkdir(parents=True, exist_ok=True)
+    fleet = _plan(folder)
+    try:
+        await _start_all(fleet)
+        yield fleet
+    finally:
+        with trio.CancelScope(shield=True):
+            await fleet.stop()
+
+
+def _plan(folder: Path) -> PlatformFleet:
+    addresses = (f'127.0.0.1:{port}' for port in free_ports(64))
+    listen = {
+        f'{data_centre}-{number}': {
+            role: next(addresses) for role in _ADDRESSES
+        }
+        for data_centre, _, number in _instances()
+    }
+    replicas = {
+        f'{service}-{data_centre}': next(addresses)
+        for service in ('model', 'shop')
+        for data_centre, _ in PLACES
+    }
+    return PlatformFleet(folder, next(addresses), listen, replicas)
+
+
+def _instances() -> Iterator[tuple[str, str, int]]:
+    """Yields data centre, region and number: two instances in the first."""
+    yield (*PLACES[0], 2)
+    for data_centre, region in PLACES:
+        yield data_centre, region, 1
+
+
+async def _start_all(fleet: PlatformFleet) -> None:
+    await fleet.start('store', 'standins.store', fleet.store)
+    await wait_for_port(fleet.store)
+    await fleet.put('op/config', build_platform_configuration())
+    for name, address in fleet.replicas.items():
+        await fleet.start(name, 'standins.replica', address, name)
+        await wait_for_port(address)
+        await fleet.put(f'servers/{name}', _server(name, address))
+    await _start_instances(fleet)
+
+
+async def _start_instances(fleet: PlatformFleet) -> None:
+    for data_centre, region, number in _instances():
+        name = f'{data_centre}-{number}'
+        path = fleet.folder / f'{name}.toml'
+        path.write_text(_settings(fleet, name, data_centre, region))
+        await fleet.start(name, 'masticstage.entry_program', str(path))
+    with trio.fail_after(_READY_TIMEOUT_S):
+        for listen in fleet.listen.values():
+            while not await is_success(f'http://{listen["readiness"]}/-/ready'):
+                await trio.sleep(_POLL_S)
+
+
+def _server(name: str, address: str) -> dict[str, Any]:
+    service, _, data_centre = name.partition('-')
+    return {
+        'Service': service,
+        'Address': address,
+        'Zone': data_centre,
+        'Slots': 64,
+        'State': 'ready',
+    }
+
+
+def _settings(
+    fleet: PlatformFleet,
+    name: str,
+    data_centre: str,
+    region: str,
+) -> str:
+    seeds = [listen['peers'] for listen in fleet.listen.values()]
+    listen = '\n'.join(
+        f'{role} = "{address}"' for role, address in fleet.listen[name].items()
+    )
+    places = '\n'.join(
+        f'[[places]]\ndata_centre = "{place}"\nregion = "{around}"'
+        for place, around in PLACES
+    )
+    return f"""
+seeds = {seeds!r}
+[instance]
+name = "{name}"
+data_centre = "{data_centre}"
+region = "{region}"
+ip = "127.0.0.1"
+[listen]
+{listen}
+[store]
+address = "{fleet.store}"
+[bounds]
+grace_s = 8
+repeat_ratio = 0.2
+repeat_window_s = 10
+repeat_slack = 56
+{places}
+"""
+
+
+def build_platform_configuration() -> dict[str, Any]:
+    """Returns the platform's form of a configuration with four routes."""
+    routes = [
+        _route('plan', 'streaming', 'model', MaxAttempts=1),
+        _route('question', 'streaming', 'model', Resumable=True),
+        _route('order', 'unsafe', 'shop', MaxAttempts=1),
+        _route('stock', 'safe', 'shop'),
+    ]
+    engine = {'Slots': 64, 'KvCapacity': 360000}
+    return {
+        'Version': 1,
+        'Routes': routes,
+        'Services': [
+            {
+                'Name': name,
+                'HealthPath': '/health',
+                'MaxConnections': 100,
+                'Engine': engine if name == 'model' else None,
+            }
+            for name in ('model', 'shop')
+        ],
+        'Limits': {
+            'MaxHeaderBytes': 16384,
+            'MaxBodyBytes': 4194304,
+            'HeaderTimeoutMs': 3000,
+            'IdleTimeoutMs': 15000,
+        },
+    }
+
+
+def _route(
+    name: str,
+    kind: str,
+    service: str,
+    **changes: object,
+) -> dict[str, Any]:
+    return {
+        'Name': name,
+        'Host': HOST,
+        'PathPrefix': f'/{name}/',
+        'Kind': kind,
+        'TimeoutMs': 3000,
+        'TargetLatencyMs': 500,
+        'Service': service,
+        'MaxAttempts': 2,
+        **changes,
+    }
--- a/src/masticstage/edges/checks.py
+++ b/src/masticstage/edges/checks.py
@@ -51,6 +51,14 @@
             gateway.spawn(_verify, gateway, place.known)
 
 
+async def is_sound(gateway: Gateway, known: KnownUpstream) -> bool:
+    """Checks an upstream whose stream is silent; doubts it if need be."""
+    failure = await _check(gateway, known)
+    if failure is not None:
+        _doubt(gateway, known, str(failure))
+    return failure is None
+
+
 async def check_doubtful(gateway: Gateway) -> None:
     """Checks upstreams in doubt again, for the life of the process."""
     while True:
--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -96,26 +96,37 @@
         via=choice.place.via.identity.name if choice.place.via else None,
         expected_ms=round(choice.expected_s * 1000),
         remaining_ms=order.remaining // timedelta(milliseconds=1),
-        in_flight=choice.place.state.in_flight,
+        in_flight=choice.place.occupation.in_flight,
         bound_ms=bound // timedelta(milliseconds=1),
         tried=sorted(task.tried),
     )
     started_s = gateway.elapsed_s()
-    with _counted(choice):
+    with _reading(choice, task.route.priority):
         ended = await _exchange(gateway, task, choice, order, framer, bound)
     _learn(gateway, task, choice, ended, gateway.elapsed_s() - started_s)
     return ended
 
 
 @contextmanager
-def _counted(choice: Choice) -> Iterator[None]:
+def occupying(choice: Choice) -> Iterator[None]:
+    """Counts a request as being at an upstream."""
+    occupation = choice.place.occupation
+    occupation.in_flight += 1
+    try:
+        yield
+    finally:
+        occupation.in_flight -= 1
+
+
+@contextmanager
+def _reading(choice: Choice, priority: int) -> Iterator[None]:
     """Counts prompt tokens as unread until the first event or the end."""
-    state = choice.place.state
-    state.pending_tokens += choice.uncached_tokens
+    pending = choice.place.occupation.pending_tokens
+    pending[priority] += choice.uncached_tokens
     try:
         yield
     finally:
-        state.pending_tokens -= choice.uncached_tokens
+        pending[priority] -= choice.uncached_tokens
 
 
 async def _exchange(
--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -17,13 +17,14 @@
     return pb.SharedLoad(
         upstream=load.upstream,
         in_flight=load.in_flight,
-        pending_tokens=load.pending_tokens,
+        pending_tokens=dict(load.pending_tokens),
     )
 
 
 def decode_load(record: pb.SharedLoad) -> SharedLoad:
     """Returns a peer's counts at an upstream."""
-    return SharedLoad(record.upstream, record.in_flight, record.pending_tokens)
+    pending = tuple(sorted(record.pending_tokens.items()))
+    return SharedLoad(record.upstream, record.in_flight, pending)
 
 
 def encode_news(news: News, *, is_in_trouble: bool) -> bytes:
--- a/src/masticstage/edges/relays.py
+++ b/src/masticstage/edges/relays.py
@@ -1,6 +1,7 @@
 """The peers' edge: exchanges of views, published records, relayed requests."""
 
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final
@@ -16,7 +17,9 @@
     Dispatched,
     Task,
     dispatch,
+    occupying,
 )
+from masticstage.edges.events import Patience, is_reachable, pass_events
 from masticstage.edges.exchanges import answer_exchange
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.listeners import Reply
@@ -25,17 +28,17 @@
     decode_relay_route,
     encode_news,
 )
-from masticstage.exceptions import (
-    BrokenConnectionError,
-    InvalidRequestError,
-    UpstreamFailedError,
-)
+from masticstage.exceptions import InvalidRequestError
 from masticstage.forwarding.choice import Choice
 from masticstage.forwarding.events import EventFramer
 from masticstage.forwarding.evidence import Evidence
 from masticstage.forwarding.requests import Headers
+from masticstage.forwarding.routes import Route
 from masticstage.forwarding.wire import DispatchOrder, RawRequest
 
+#: Silence of a resumable stream after which its upstream is checked: three
+#: of the pauses that the users' routes call on time.
+_SILENCE: Final = timedelta(seconds=1.2)
 _MESSAGE: Final = ((b'content-type', b'application/x-protobuf'),)
 _BAD: Final = (DecodeError, InvalidRequestError, ValueError)
 
@@ -103,12 +106,8 @@
         return
     if gateway.beliefs.chooser.is_cold(choice.place.known):
         gateway.beliefs.chooser.note_cold_dispatch(choice)
-    state = choice.place.state
-    state.in_flight += 1
-    try:
+    with occupying(choice):
         await _relay_to(gateway, task, choice, message, reply)
-    finally:
-        state.in_flight -= 1
 
 
 def _choose(gateway: Gateway, task: Task, preferred: str) -> Choice | None:
@@ -144,7 +143,8 @@
     ended = await dispatch(gateway, task, choice, order, framer, route.limit)
     suspect(gateway, task, choice, ended)
     try:
-        await _pass_answer(gateway, ended, framer, reply)
+        patience = _patience(gateway, choice, route)
+        await _pass_answer(gateway, ended, framer, reply, patience)
     finally:
         ended.close()
 
@@ -154,6 +154,7 @@
     ended: Dispatched,
     framer: EventFramer,
     reply: Reply,
+    patience: Patience,
 ) -> None:
     if ended.head is None:
         await _answer_unrun(reply, ended)
@@ -163,37 +164,29 @@
         await reply.whole(ended.head.status, headers, ended.body)
         return
     await reply.start(ended.head.status, headers, ended.body)
-    try:
-        is_whole = await _pass_events(ended, framer, reply)
-    except (BrokenConnectionError, UpstreamFailedError) as error:
+    reason = await pass_events(ended, framer, reply, patience)
+    if reason:
         # The sender sees the relay's connection close without the end.
         gateway.log.record(
             'relay_broken',
             upstream=ended.upstream,
-            reason=error.reason,
+            reason=reason,
         )
         return
-    if is_whole and ended.pool is not None:
-        await reply.finish()
+    await reply.finish()
+    if ended.pool is not None:
         ended.pool.give_back(ended.connection)
         ended.connection = None
 
 
-async def _pass_events(
-    ended: Dispatched,
-    framer: EventFramer,
-    reply: Reply,
-) -> bool:
-    """Passes events on; False when the last one is cut off."""
-    if ended.connection is None:
-        return True
-    while True:
-        chunk = await ended.connection.read_chunk()
-        if not chunk:
-            return not framer.has_partial
-        events = framer.feed(chunk)
-        if events:
-            await reply.send(events)
+def _patience(gateway: Gateway, choice: Choice, route: Route) -> Patience:
+    """Waits as long as the upstream lives; the sender bounds the whole."""
+
+    async def goes_on() -> bool:
+        return await is_reachable(gateway, choice)
+
+    bound = _SILENCE if route.is_resumable else route.limit
+    return Patience(lambda: bound, goes_on)
 
 
 async def _answer_unrun(reply: Reply, ended: Dispatched) -> None:
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -1,7 +1,5 @@
 """Serves one request of a caller from its arrival to its final answer."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Final, final
@@ -10,14 +8,14 @@
 import trio
 
 from masticstage.edges.checks import suspect
-from masticstage.edges.dispatch import Dispatched, Task, dispatch
+from masticstage.edges.dispatch import Dispatched, Task, dispatch, occupying
+from masticstage.edges.events import Patience, is_reachable, pass_events
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.listeners import Reply
-from masticstage.exceptions import BrokenConnectionError, InvalidRequestError
+from masticstage.exceptions import InvalidRequestError
 from masticstage.forwarding.choice import Choice
 from masticstage.forwarding.events import EventFramer
 from masticstage.forwarding.evidence import AttemptHistory, Evidence
-from masticstage.forwarding.loads import UpstreamState
 from masticstage.forwarding.patience import first_answer_bound, silence_bound
 from masticstage.forwarding.requests import CallerRequest
 from masticstage.forwarding.wire import DispatchOrder, RawRequest
@@ -92,7 +90,11 @@
         request.arrived + allowance,
         AttemptHistory(task.route),
     )
-    await _run(service)
+    try:
+        await _run(service)
+    except trio.Cancelled:
+        _note_end(service, 'caller_left', '')
+        raise
 
 
 def _begin(gateway: Gateway, request: CallerRequest) -> Task | _Refusal:
@@ -132,7 +134,7 @@
         if choice is None:
             await _fail(service)
             return
-        with _occupied(choice.place.state):
+        with occupying(choice):
             ended = await _dispatch(service, choice)
             if await _deliver(service, choice, ended):
                 return
@@ -162,15 +164,6 @@
     return choice
 
 
-@contextmanager
-def _occupied(state: UpstreamState) -> Iterator[None]:
-    state.in_flight += 1
-    try:
-        yield
-    finally:
-        state.in_flight -= 1
-
-
 async def _dispatch(service: _Service, choice: Choice) -> Dispatched:
     gateway, task = service.gateway, service.task
     place = choice.place
@@ -242,7 +235,12 @@
         await reply.send(ended.body)
     else:
         await reply.start(ended.head.status, ended.head.headers, ended.body)
-    reason = await _pass_events(service, ended)
+    reason = await pass_events(
+        ended,
+        service.framer,
+        reply,
+        _patience(service, choice),
+    )
     if not reason:
         await reply.finish()
         _note_end(service, 'answered', ended.upstream)
@@ -263,30 +261,22 @@
     return False
 
 
-async def _pass_events(service: _Service, ended: Dispatched) -> str:
-    """Returns why the events ended early, empty when they are complete."""
-    connection, framer = ended.connection, service.framer
-    if connection is None:
-        return ''
-    while True:
-        bound = silence_bound(
+def _patience(service: _Service, choice: Choice) -> Patience:
+    """Waits for a silent stream as long as its upstream lives."""
+
+    async def goes_on() -> bool:
+        if service.remaining <= timedelta():
+            return False
+        return await is_reachable(service.gateway, choice)
+
+    return Patience(
+        lambda: silence_bound(
             service.task.route,
             service.history,
             service.remaining,
-        )
-        chunk = None
-        with trio.move_on_after(max(0, bound.total_seconds())):
-            try:
-                chunk = await connection.read_chunk()
-            except BrokenConnectionError as error:
-                return error.reason
-        if chunk is None:
-            return 'silence'
-        if not chunk:
-            return 'partial event' if framer.has_partial else ''
-        events = framer.feed(chunk)
-        if events:
-            await service.reply.send(events)
+        ),
+        goes_on,
+    )
 
 
 async def _fail(service: _Service) -> None:
@@ -300,7 +290,7 @@
         return
     request_id = service.task.request.request_id
     await _refuse(service.gateway, service.reply, request_id, _verdict(service))
-    _note_end(service, 'refused', '')
+    _note_end(service, 'gave_up', '')
 
 
 def _verdict(service: _Service) -> _Refusal:
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -16,7 +16,11 @@
 import xxhash
 
 from masticstage.clock import Clock
-from masticstage.forwarding.loads import LoadTable, UpstreamState
+from masticstage.forwarding.loads import (
+    LoadTable,
+    Occupation,
+    UpstreamState,
+)
 from masticstage.forwarding.requests import CallerRequest, Prompt
 from masticstage.forwarding.routes import Route, ServicePlan
 from masticstage.forwarding.view import FleetView, KnownUpstream
@@ -65,6 +69,11 @@
     state: UpstreamState
     via: Member | None
 
+    @property
+    def occupation(self) -> Occupation:
+        """Where requests to this place are counted."""
+        return self.state.direct if self.via is None else self.state.relayed
+
 
 @attrs.frozen
 class Choice:
@@ -227,7 +236,7 @@
         is_home: bool,
     ) -> Choice:
         uncached = place.state.cache.uncached(request.prompt)
-        expected_s = self._expected_s(place, uncached)
+        expected_s = self._expected_s(place, uncached, route.priority)
         target_s = route.target.total_seconds() or _DEFAULT_TARGET_S
         cost = _lateness(expected_s / target_s)
         cost += self._failure_cost(place, route)
@@ -238,7 +247,12 @@
             cost += _READ_COST * unread / request.prompt.tokens_in
         return Choice(place, expected_s, cost, uncached)
 
-    def _expected_s(self, place: Place, uncached: int) -> float:
+    def _expected_s(
+        self,
+        place: Place,
+        uncached: int,
+        priority: int,
+    ) -> float:
         """Predicts the time to the first event or the answer."""
         state, engine = place.state, place.plan.engine
         if engine is None:
@@ -247,7 +261,7 @@
             hold_s = serve_s
         else:
             slots = engine.slots
-            unread = self._loads.pending_tokens(state) + uncached
+            unread = self._loads.unread_tokens(state, priority) + uncached
             serve_s = _FIRST_EVENT_S + unread / _TOKENS_PER_S
             hold_s = _STREAM_S
         ahead = max(0, self._loads.in_flight(state) - slots + 1)
--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -5,6 +5,8 @@
 from own outcomes.
 """
 
+from collections import Counter
+from collections.abc import Iterable
 from typing import Final, final
 
 import attrs
@@ -25,6 +27,9 @@
 #: Bounds on the learnt pace: an upstream may be this much slower or faster.
 _LEAST_PACE: Final = 0.5
 _MOST_PACE: Final = 10.0
+#: Part of a less urgent prompt that is read before an urgent one, since it
+#: has begun.
+_BEGUN: Final = 0.3
 #: Pauses between health checks of an upstream in doubt, in seconds.
 _FIRST_DOUBT_S: Final = 0.25
 _LONGEST_DOUBT_S: Final = 2.0
@@ -39,13 +44,17 @@
     slots: int
 
 
+#: Prompt tokens without an event so far, by priority.
+PendingTokens = tuple[tuple[int, int], ...]
+
+
 @attrs.frozen
 class SharedLoad:
     """What one instance has at one upstream, as told to peers."""
 
     upstream: str
     in_flight: int
-    pending_tokens: int
+    pending_tokens: PendingTokens
 
 
 @attrs.frozen
@@ -56,18 +65,31 @@
     at_s: float
 
 
+@attrs.define
+class Occupation:
+    """Requests and unread prompt tokens (by priority) at an upstream."""
+
+    in_flight: int = 0
+    pending_tokens: Counter[int] = attrs.field(factory=Counter)
+
+    def unread(self, priority: int) -> float:
+        """Returns the tokens that are read before a prompt of a priority."""
+        return _unread(self.pending_tokens.items(), priority)
+
+
 @attrs.define
 class UpstreamState:
     """Counts, health and learnt figures of one upstream.
 
-    `pending_tokens` are those of prompts that were sent and have brought no
-    event yet.  `pace` is the ratio of seen to expected times.
+    `direct` is what this instance has there itself, `relayed` what it has
+    sent through peers, who count it as theirs.  `pace` is the ratio of seen
+    to expected times.
     """
 
     born_ms: int
     cache: PromptCache
-    in_flight: int = 0
-    pending_tokens: int = 0
+    direct: Occupation = attrs.field(factory=Occupation)
+    relayed: Occupation = attrs.field(factory=Occupation)
     reported: ReportedLoad | None = None
     reported_at_s: float = 0
     in_flight_when_reported: int = 0
@@ -111,28 +133,29 @@
 
     def in_flight(self, state: UpstreamState) -> int:
         """Returns the requests that are believed to be at an upstream."""
-        now_s = self._now_s()
-        counted = state.in_flight + sum(
-            peer.load.in_flight
-            for peer in state.peers.values()
-            if now_s - peer.at_s < _PEER_AGE_S
+        counted = state.direct.in_flight + sum(
+            peer.load.in_flight for peer in self._fresh_peers(state)
         )
+        counted = max(counted, state.relayed.in_flight)
         if state.reported is None:
             return counted
-        if now_s - state.reported_at_s > _REPORT_AGE_S:
+        if self._now_s() - state.reported_at_s > _REPORT_AGE_S:
             return counted
-        since = state.in_flight - state.in_flight_when_reported
+        since = state.direct.in_flight - state.in_flight_when_reported
         seen = state.reported.running + state.reported.waiting + since
-        return max(state.in_flight, seen)
+        return max(state.direct.in_flight, seen)
 
-    def pending_tokens(self, state: UpstreamState) -> int:
-        """Returns the prompt tokens that are believed to be unread there."""
-        now_s = self._now_s()
-        return state.pending_tokens + sum(
-            peer.load.pending_tokens
-            for peer in state.peers.values()
-            if now_s - peer.at_s < _PEER_AGE_S
+    def unread_tokens(self, state: UpstreamState, priority: int) -> float:
+        """Returns the tokens that are read before a new prompt there.
+
+        More urgent prompts are read first; of less urgent ones the part that
+        is being read already.  What was relayed is counted by peers as well.
+        """
+        counted = state.direct.unread(priority) + sum(
+            _unread(peer.load.pending_tokens, priority)
+            for peer in self._fresh_peers(state)
         )
+        return max(counted, state.relayed.unread(priority))
 
     def failure_rate(self, state: UpstreamState) -> float:
         """Returns the share of recent failures, fading while unused."""
@@ -143,7 +166,7 @@
         """Takes over the load that an upstream told with an answer."""
         state.reported = load
         state.reported_at_s = self._now_s()
-        state.in_flight_when_reported = state.in_flight
+        state.in_flight_when_reported = state.direct.in_flight
 
     def note_outcome(self, state: UpstreamState, *, is_failure: bool) -> None:
         """Learns from the end of a dispatch."""
@@ -181,9 +204,13 @@
     def shared(self) -> tuple[SharedLoad, ...]:
         """Returns what this instance tells its peers."""
         return tuple(
-            SharedLoad(name, state.in_flight, state.pending_tokens)
+            SharedLoad(
+                name,
+                state.direct.in_flight,
+                tuple(sorted(state.direct.pending_tokens.items())),
+            )
             for name, state in self._states.items()
-            if state.in_flight
+            if state.direct.in_flight
         )
 
     def take_shared(self, peer: str, loads: tuple[SharedLoad, ...]) -> None:
@@ -196,5 +223,20 @@
             if told_of is not None:
                 told_of.peers[peer] = _PeerLoad(load, now_s)
 
+    def _fresh_peers(self, state: UpstreamState) -> list[_PeerLoad]:
+        now_s = self._now_s()
+        return [
+            peer
+            for peer in state.peers.values()
+            if now_s - peer.at_s < _PEER_AGE_S
+        ]
+
     def _now_s(self) -> float:
         return self._clock.elapsed().total_seconds()
+
+
+def _unread(pending: Iterable[tuple[int, int]], priority: int) -> float:
+    return sum(
+        tokens if rank <= priority else _BEGUN * tokens
+        for rank, tokens in pending
+    )
--- a/src/masticstage/forwarding/patience.py
+++ b/src/masticstage/forwarding/patience.py
@@ -39,7 +39,7 @@
     history: AttemptHistory,
     remaining: timedelta,
 ) -> timedelta:
-    """Returns how long a started stream may be silent."""
+    """Returns how long a started stream may be silent before a check."""
     if not history.may_dispatch() or not route.longest_pause:
         return remaining
     return min(remaining, _SILENCE_FACTOR * route.longest_pause)
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -38,7 +38,7 @@
     world.add(build_record('far', **_SOUTH))
     world.add(build_record('near'))
     world.chooser.note_call('shop', 0.2)
-    world.loads.state('near').in_flight = 30
+    world.loads.state('near').direct.in_flight = 30
 
     choice = _choose(world)
 
@@ -61,7 +61,7 @@
 
     south = build_route(homes=frozenset(('south',)))
     north = build_route(homes=frozenset(('north',)))
-    world.loads.state('near').in_flight = 500
+    world.loads.state('near').direct.in_flight = 500
 
     assert _choose(world, south).upstream == 'far'
     assert _choose(world, north).upstream == 'near'
@@ -74,12 +74,12 @@
     grey = world.loads.state('grey')
     for _ in range(5):
         world.loads.note_outcome(grey, is_failure=True)
-    world.loads.state('sound').in_flight = 5
+    world.loads.state('sound').direct.in_flight = 5
     assert _choose(world).upstream == 'sound'
 
     world.advance(30)
     world.chooser.note_call('shop', 0.2)
-    world.loads.state('sound').in_flight = 12
+    world.loads.state('sound').direct.in_flight = 12
     assert _choose(world).upstream == 'grey'
 
 
@@ -143,7 +143,7 @@
     _engines(world, 2)
     route = build_stream_route(target=build_route().limit)
     home = _choose(world, route, _plan()).upstream
-    world.loads.take_shared('peer', (SharedLoad(home, 9, 150_000),))
+    world.loads.take_shared('peer', (SharedLoad(home, 9, ((0, 150_000),)),))
 
     assert _choose(world, route, _plan()).upstream != home
 
--- a/tests/forwarding/test_loads.py
+++ b/tests/forwarding/test_loads.py
@@ -16,9 +16,9 @@
 
 def test_a_fresh_report_is_corrected_by_own_dispatches_since():
     _, table, state = _table()
-    state.in_flight = 2
+    state.direct.in_flight = 2
     table.note_report(state, ReportedLoad(5, 1, 6))
-    state.in_flight = 4
+    state.direct.in_flight = 4
 
     assert table.in_flight(state) == 8
 
@@ -26,7 +26,7 @@
 def test_an_old_report_gives_way_to_counts():
     clock, table, state = _table()
     table.note_report(state, ReportedLoad(5, 1, 6))
-    state.in_flight = 1
+    state.direct.in_flight = 1
     clock.advance(SECOND)
 
     assert table.in_flight(state) == 1
@@ -34,11 +34,11 @@
 
 def test_counts_of_peers_add_up_until_they_are_old():
     clock, table, state = _table()
-    state.in_flight = 1
-    table.take_shared('p-1', (SharedLoad('u-1', 2, 500),))
-    table.take_shared('p-2', (SharedLoad('u-1', 3, 0),))
+    state.direct.in_flight = 1
+    table.take_shared('p-1', (SharedLoad('u-1', 2, ((1, 500),)),))
+    table.take_shared('p-2', (SharedLoad('u-1', 3, ()),))
     assert table.in_flight(state) == 6
-    assert table.pending_tokens(state) == 500
+    assert table.unread_tokens(state, 1) == 500
 
     table.take_shared('p-2', ())
     assert table.in_flight(state) == 3
@@ -78,3 +78,23 @@
 
     assert table.clear_doubt(state)
     assert not state.is_doubtful
+
+
+def test_what_was_relayed_is_not_counted_twice():
+    _, table, state = _table()
+    state.relayed.in_flight = 4
+    state.relayed.pending_tokens[1] = 900
+    table.take_shared('p-1', (SharedLoad('u-1', 3, ((1, 700),)),))
+
+    assert table.in_flight(state) == 4
+    assert table.unread_tokens(state, 1) == 900
+    assert not table.shared()
+
+
+def test_an_urgent_prompt_waits_little_for_less_urgent_ones():
+    _, table, state = _table()
+    state.direct.pending_tokens[1] = 10_000
+    state.direct.pending_tokens[0] = 100
+
+    assert table.unread_tokens(state, 1) == 10_100
+    assert 100 <= table.unread_tokens(state, 0) < 4000
