--- a/src/masticstage/explain.py
+++ b/src/masticstage/explain.py
@@ -109,8 +109,8 @@
 
 def _tell_broken_off(fields: _Fields) -> str:
     return (
-        f'ended without the rest of its stream after {fields["took_ms"]} ms: it '
-        'could not go on elsewhere, and the caller sees that it is incomplete'
+        f'broken off after {fields["took_ms"]} ms: the stream could not go on '
+        'elsewhere, and the caller sees that it is incomplete'
     )
 
 
