Lead callers to the homes of most routes

Other routes of the host have other homes, so no region is a home of all, and the list fell back to every live instance. Change: the regions that are homes of most bound routes come first.

--- a/src/masticstage/forwarding/routes.py
+++ b/src/masticstage/forwarding/routes.py
@@ -111,7 +111,7 @@
     def homes_of(self, host: str) -> tuple[frozenset[str], ...]:
         """Returns the homes of the host's routes that have any."""
         routes = self._by_host.get(host, ())
-        return tuple({route.homes for route in routes if route.homes})
+        return tuple(route.homes for route in routes if route.homes)
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path, if any."""
--- a/tests/forwarding/test_entries.py
+++ b/tests/forwarding/test_entries.py
@@ -54,3 +54,9 @@
     leaving = attrs.evolve(_SOUTH, liveness=Liveness.LEAVING)
     listed = nearest_entries([_EAST, leaving], 'south-a', 'south', ())
     assert listed == ('e:2',)
+
+
+def test_the_homes_of_most_routes_decide_where_they_differ():
+    homes = [frozenset(('north', 'south'))] * 2 + [frozenset(('east',))]
+    listed = nearest_entries(_without('n'), 'north-a', 'north', homes)
+    assert listed == ('s:2',)
