Name instances that leave rather than lead callers beyond their homes

Change: an instance that has been leaving for less than 1.8 s is named before one in a region that may serve less of what is asked there; it serves for 3 s.

--- a/src/masticstage/edges/entrance.py
+++ b/src/masticstage/edges/entrance.py
@@ -1,13 +1,17 @@
 """The small edges: readiness, the list of entries, metrics."""
 
+from datetime import timedelta
 from http import HTTPStatus
 from typing import Final
 
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.listeners import Reply
-from masticstage.forwarding.entries import nearest_entries
+from masticstage.forwarding.entries import CallerPlace, nearest_entries
 from masticstage.forwarding.wire import RawRequest
 
+#: Time for which a leaving instance may still be named. It serves for three
+#: seconds, and callers use a list for one.
+_STILL_SERVING: Final = timedelta(seconds=1.8)
 _TEXT: Final = ((b'content-type', b'text/plain; version=0.0.4'),)
 
 
@@ -36,11 +40,15 @@
         return
     members = gateway.beliefs.members
     table = gateway.beliefs.view.table
+    homes = table.homes_of(query.host) if table else ()
+    leaving = list(members.leaving_for(_STILL_SERVING))
+    drain_at = gateway.activity.drain_at
+    if drain_at and gateway.clock.elapsed() - drain_at < _STILL_SERVING:
+        leaving.append(members.own)
     addresses = nearest_entries(
         [members.own, *members.others()],
-        query.data_centre,
-        query.region,
-        table.homes_of(query.host) if table else (),
+        leaving,
+        CallerPlace(query.data_centre, query.region, homes),
     )
     answer = gateway.wire.write_entries(addresses)
     headers = ((b'content-type', answer.media_type.encode()),)
--- a/src/masticstage/forwarding/entries.py
+++ b/src/masticstage/forwarding/entries.py
@@ -1,38 +1,63 @@
 """Which instances a caller is told to use."""
 
 from collections.abc import Iterable, Sequence
+from typing import Final
+
+import attrs
 
 from masticstage.membership import Liveness, Member
 
 #: Entries that are listed at most; callers take no more.
-MAX_ENTRIES = 64
+MAX_ENTRIES: Final = 64
+# Ranks, the best first.  A leaving instance still serves new callers for a
+# while, which is better than one in a region that may not serve them.
+_SAME_DATA_CENTRE: Final = 0
+_SAME_REGION: Final = 1
+_AT_HOME: Final = 2
+_LEAVING_NEAR: Final = 3
+_ELSEWHERE: Final = 4
+_LEAVING_ELSEWHERE: Final = 5
+
+
+@attrs.frozen
+class CallerPlace:
+    """Where a caller is, and the homes of each bound route of its host."""
+
+    data_centre: str
+    region: str
+    homes: tuple[frozenset[str], ...] = ()
+
+    def served(self, region: str) -> int:
+        """Returns how many bound routes a region may serve."""
+        return sum(region in bound for bound in self.homes)
 
 
 def nearest_entries(
-    members: Sequence[Member],
-    data_centre: str,
-    region: str,
-    homes: Iterable[frozenset[str]],
+    live: Iterable[Member],
+    leaving: Sequence[Member],
+    caller: CallerPlace,
 ) -> tuple[str, ...]:
-    """Returns caller addresses of live instances nearest to a caller.
+    """Returns the caller addresses of the instances to use.
 
-    Those of the caller's data centre if there are any, else of its region,
-    else of the regions that may serve most of what is asked there: `homes` has
-    those of each route that is bound.
+    `live` are instances believed to be live, `leaving` those that have begun
+    to leave a moment ago.  All that are returned share the best rank.
     """
-    live = [one for one in members if one.liveness is Liveness.LIVE]
-    near = [one for one in live if one.data_centre == data_centre]
-    around = [one for one in live if one.region == region]
-    chosen = near or around or _most_at_home(live, list(homes))
-    return tuple(one.caller_address for one in chosen[:MAX_ENTRIES])
-
-
-def _most_at_home(
-    live: list[Member],
-    homes: list[frozenset[str]],
-) -> list[Member]:
-    served = {
-        one.region: sum(one.region in bound for bound in homes) for one in live
-    }
-    most = max(served.values(), default=0)
-    return [one for one in live if served[one.region] == most]
+    sound = [one for one in live if one.liveness is Liveness.LIVE]
+    known = (*sound, *leaving)
+    most = max((caller.served(one.region) for one in known), default=0)
+    ranked = [(_rank(one, caller, most), one) for one in known]
+    best = min((rank for rank, _ in ranked), default=0)
+    chosen = [one.caller_address for rank, one in ranked if rank == best]
+    return tuple(chosen[:MAX_ENTRIES])
+
+
+def _rank(one: Member, caller: CallerPlace, most: int) -> int:
+    is_near = one.region == caller.region
+    is_at_home = caller.served(one.region) == most
+    if one.liveness is not Liveness.LIVE:
+        return _LEAVING_NEAR if is_near or is_at_home else _LEAVING_ELSEWHERE
+    if one.data_centre == caller.data_centre:
+        return _SAME_DATA_CENTRE
+    if is_near:
+        return _SAME_REGION
+    return _AT_HOME if is_at_home else _ELSEWHERE
--- a/src/masticstage/membership.py
+++ b/src/masticstage/membership.py
@@ -103,6 +103,16 @@
             if entry.member.liveness is Liveness.GONE
         )
 
+    def leaving_for(self, longest: timedelta) -> tuple[Member, ...]:
+        """Instances that have been leaving for at most this long."""
+        now = self._clock.elapsed()
+        return tuple(
+            entry.member
+            for entry in self._entries.values()
+            if entry.member.liveness is Liveness.LEAVING
+            and now - entry.changed_at <= longest
+        )
+
     def find(self, name: str) -> Member | None:
         """Returns the record of an instance by name."""
         if name == self._own.identity.name:
--- /dev/null
+++ b/tests/patterns/__init__.py
@@ -0,0 +1,1 @@
+"""Load patterns of the users' days, against the decisions alone."""
--- /dev/null
+++ b/tests/patterns/test_shared_histories.py
@@ -0,0 +1,43 @@
+"""Ninety long histories that callers of several instances share."""
+
+from random import Random
+
+from tests.routed import (
+    build_prompt,
+    build_record,
+    build_request,
+    build_stream_route,
+    build_world,
+)
+
+_HISTORIES = 90
+_PLANS = 900
+
+
+def _read_again(is_shared):
+    """Plays plans over three instances; returns parts read twice or more."""
+    random = Random(5)
+    worlds = [build_world() for _ in range(3)]
+    names = [f'e{number}' for number in range(6)]
+    for world in worlds:
+        for name in names:
+            world.add(build_record(name, service='model'))
+    route = build_stream_route()
+    held = {name: set() for name in names}
+    for number in range(_PLANS):
+        world = random.choice(worlds)
+        history = f'{random.randrange(_HISTORIES) + 1:x}'
+        request = build_request(prompt=build_prompt(history, 6000))
+        choice = world.chooser.choose(request, route, 'model')
+        name = choice.upstream if is_shared else names[number % len(names)]
+        held[name].add(history)
+        world.loads.state(name).cache.note_read(request.prompt)
+    return sum(map(len, held.values())) - _HISTORIES
+
+
+def test_a_history_is_read_at_one_upstream_whoever_asks():
+    assert _read_again(is_shared=True) <= 0.05 * _HISTORIES
+
+
+def test_taking_turns_would_read_most_of_them_everywhere():
+    assert _read_again(is_shared=False) > _HISTORIES
