Bound heads that arrive in one piece; test framing, limits and departure

Cause: h11 bounds only heads that are incomplete when they are parsed, so a large one that came at once was accepted (test_a_large_head_is_refused failed first).

--- a/src/masticstage/edges/listeners.py
+++ b/src/masticstage/edges/listeners.py
@@ -226,6 +226,9 @@
         """Refuses heads whose framing two parsers could read differently."""
         end = _HEAD_END.search(self._head)
         head = self._head[: end.start()] if end else self._head
+        if len(head) > self._limits().header_bytes:
+            # The parser bounds only heads that come in several pieces.
+            raise _RefusedError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         lengths = len(_LENGTHS.findall(head))
         codings = len(_CODINGS.findall(head))
         if _FOLDED.search(head) or lengths + codings > 1:
--- a/tests/edges/test_gateway.py
+++ b/tests/edges/test_gateway.py
@@ -21,6 +21,7 @@
     free_addresses,
     publish_replica,
     run_briefly,
+    wait_for_listener,
 )
 from tests.routed import build_route, build_stream_route, build_table
 
@@ -108,7 +109,7 @@
             gateway.beliefs.view.take(f'u/{record.name}', record)
         gateway.beliefs.view.take('c', table or build_table())
         nursery.start_soon(run_gateway, gateway)
-        await trio.sleep(0.1)
+        await wait_for_listener(gateway.settings.listen.callers)
         yield Entry(gateway, replicas)
         nursery.cancel_scope.cancel()
 
--- /dev/null
+++ b/tests/edges/test_listeners.py
@@ -0,0 +1,206 @@
+"""Tests of reading requests: limits, framing, departure."""
+
+import socket
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from functools import partial
+
+import pytest
+import trio
+
+from masticstage.clock import SystemClock
+from masticstage.edges.listeners import ServerConnection
+from masticstage.forwarding.routes import CallerLimits
+from tests.edges.entry import run_briefly
+
+_LIMITS = CallerLimits(
+    2048,
+    1000,
+    timedelta(milliseconds=200),
+    timedelta(milliseconds=400),
+)
+
+
+class _Server:
+    """Answers 200 and keeps what it was asked."""
+
+    def __init__(self):
+        self.seen = []
+        self.was_cancelled = False
+
+    async def respond(self, raw, reply):
+        self.seen.append(raw)
+        if raw.target == b'/slow':
+            try:
+                await trio.sleep_forever()
+            except trio.Cancelled:
+                self.was_cancelled = True
+                raise
+        await reply.whole(200, (), b'fine')
+
+
+@asynccontextmanager
+async def _serving(is_last=False):
+    server = _Server()
+
+    async def converse(stream):
+        connection = ServerConnection(
+            stream,
+            SystemClock(),
+            lambda: _LIMITS,
+            lambda: is_last,
+        )
+        await connection.serve(server.respond)
+
+    async with trio.open_nursery() as nursery:
+        serve = partial(trio.serve_tcp, converse, 0, host='127.0.0.1')
+        listeners = await nursery.start(serve)
+        address = listeners[0].socket.getsockname()
+        yield server, await trio.open_tcp_stream(*address)
+        nursery.cancel_scope.cancel()
+
+
+async def _read(stream):
+    received = b''
+    while chunk := await stream.receive_some():
+        received += chunk
+    return received
+
+
+def _exchange(payload, status, ran=0):
+    @run_briefly
+    async def check():
+        async with _serving() as (server, stream):
+            await stream.send_all(payload)
+            answer = await _read(stream)
+            assert answer.startswith(b'HTTP/1.1 %d' % status)
+            assert len(server.seen) == ran
+
+    check()
+
+
+_HEAD = b'POST / HTTP/1.1\r\nHost: x\r\n'
+
+
+@pytest.mark.parametrize(
+    'payload',
+    [
+        b'nonsense\r\n\r\n',
+        _HEAD + b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+        _HEAD + b'Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc',
+        _HEAD + b'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
+        _HEAD + b'X-A: 1\r\n folded\r\n\r\n',
+        _HEAD + b'X-A: 1\r\n\tfolded\r\n\r\n',
+        _HEAD + b'Content-Length: -3\r\n\r\n',
+        b'GET / HTTP/1.1\r\n\r\n',
+    ],
+)
+def test_doubtful_framing_is_refused_and_the_connection_closed(payload):
+    _exchange(payload, 400)
+
+
+def test_a_large_head_is_refused():
+    _exchange(_HEAD + b'X-A: ' + b'a' * 3000 + b'\r\n\r\n', 431)
+
+
+@pytest.mark.parametrize(
+    'payload',
+    [
+        _HEAD + b'Content-Length: 2000\r\n\r\n',
+        _HEAD
+        + b'Transfer-Encoding: chunked\r\n\r\n7d0\r\n'
+        + b'a' * 2000
+        + b'\r\n0\r\n\r\n',
+    ],
+)
+def test_a_large_body_is_refused(payload):
+    _exchange(payload, 413)
+
+
+def test_a_slow_head_is_refused():
+    _exchange(_HEAD, 408)
+
+
+def test_an_idle_connection_is_closed_without_an_answer():
+    @run_briefly
+    async def check():
+        async with _serving() as (_, stream):
+            assert await _read(stream) == b''
+
+    check()
+
+
+@run_briefly
+async def test_requests_follow_each_other_on_one_connection():
+    async with _serving() as (server, stream):
+        for number in range(3):
+            await stream.send_all(
+                _HEAD + b'Content-Length: 1\r\n\r\n%d' % number
+            )
+            answer = await stream.receive_some()
+            assert answer.endswith(b'fine')
+        assert [raw.body for raw in server.seen] == [b'0', b'1', b'2']
+
+
+@run_briefly
+async def test_a_request_that_was_sent_early_is_answered_next():
+    async with _serving() as (server, stream):
+        one = _HEAD + b'Content-Length: 1\r\n\r\n'
+        await stream.send_all(one + b'a' + one + b'b')
+        received = b''
+        while received.count(b'fine') < 2:
+            received += await stream.receive_some()
+        assert [raw.body for raw in server.seen] == [b'a', b'b']
+
+
+@run_briefly
+async def test_a_chunked_body_is_read_whole():
+    async with _serving() as (server, stream):
+        await stream.send_all(
+            _HEAD + b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n',
+        )
+        await stream.receive_some()
+        assert server.seen[0].body == b'abc'
+
+
+@run_briefly
+async def test_a_caller_that_waits_to_be_asked_for_its_body_is_asked():
+    async with _serving() as (server, stream):
+        head = _HEAD + b'Expect: 100-continue\r\nContent-Length: 3\r\n\r\n'
+        await stream.send_all(head)
+        assert (await stream.receive_some()).startswith(b'HTTP/1.1 100')
+        await stream.send_all(b'abc')
+        await stream.receive_some()
+        assert server.seen[0].body == b'abc'
+
+
+@pytest.mark.parametrize('how', ['close', 'reset'])
+def test_a_departure_cancels_the_handling(how):
+    @run_briefly
+    async def check():
+        async with _serving() as (server, stream):
+            await stream.send_all(b'GET /slow HTTP/1.1\r\nHost: x\r\n\r\n')
+            await trio.sleep(0.05)
+            if how == 'reset':
+                linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+                stream.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    linger,
+                )
+            stream.socket.close()
+            await trio.sleep(0.1)
+            assert server.was_cancelled
+
+    check()
+
+
+def test_the_last_answer_closes_the_connection():
+    @run_briefly
+    async def check():
+        async with _serving(is_last=True) as (_, stream):
+            await stream.send_all(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            answer = await _read(stream)
+            assert b'connection: close' in answer.lower()
+
+    check()
