--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 CODE := src standins bench tools tests
 
-.PHONY: setup run run-platform serve test check unit prove prove-checks measure capacity generate format clean
+.PHONY: setup run run-platform soak serve test check unit prove prove-checks measure capacity generate format clean
 
 setup: $(READY)
 
@@ -24,6 +24,10 @@
 run-platform: $(READY)
 	$(BIN)/python -m bench.run_platform --seed=$(SEED)
 
+# Faults over the same stand-ins, checked against what the replicas ran.
+soak: $(READY)
+	$(BIN)/python -m bench.soak --seed=$(SEED)
+
 # Keeps a deployment running for trials by hand; Ctrl-C stops it.
 serve: $(READY)
 	$(BIN)/python -m bench.serve
--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -1,5 +1,6 @@
 """Entry instances over stand-ins of the users' platform, as processes."""
 
+import shutil
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Iterator
@@ -36,16 +37,36 @@
     listen: dict[str, dict[str, str]]
     replicas: dict[str, str]
     processes: dict[str, trio.Process] = attrs.field(factory=dict)
+    commands: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
     async def start(self, name: str, *command: str) -> None:
-        """Starts a process with its output in a file of its name."""
-        with (self.folder / f'{name}.log').open('wb') as log:
+        """Starts a process; its output goes to the end of its file."""
+        self.commands[name] = command
+        with (self.folder / f'{name}.log').open('ab') as log:
             self.processes[name] = await trio.lowlevel.open_process(
                 [sys.executable, '-m', *command],
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
 
+    async def restart(self, name: str, *, is_killed: bool) -> None:
+        """Kills or stops a process and starts it again."""
+        process = self.processes[name]
+        if is_killed:
+            process.kill()
+        else:
+            process.terminate()
+        await process.wait()
+        await self.start(name, *self.commands[name])
+
+    async def set_mode(self, *, is_down: bool) -> None:
+        """Makes the store unavailable, or available again."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            await client.post(
+                f'http://{self.store}/control/mode',
+                json={'is_down': is_down},
+            )
+
     async def put(self, key: str, document: object) -> None:
         """Publishes a record."""
         async with httpx.AsyncClient(trust_env=False) as client:
@@ -73,12 +94,17 @@
 
 
 @asynccontextmanager
-async def running_platform(folder: Path) -> AsyncIterator[PlatformFleet]:
+async def running_platform(
+    folder: Path,
+    fault_share: float = 0,
+    seed: int = 0,
+) -> AsyncIterator[PlatformFleet]:
     """Runs a store, six replicas and four instances until the end."""
-    folder.mkdir(parents=True, exist_ok=True)
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
     fleet = _plan(folder)
     try:
-        await _start_all(fleet)
+        await _start_all(fleet, (str(fault_share), str(seed)))
         yield fleet
     finally:
         with trio.CancelScope(shield=True):
@@ -108,12 +134,15 @@
         yield data_centre, region, 1
 
 
-async def _start_all(fleet: PlatformFleet) -> None:
+async def _start_all(
+    fleet: PlatformFleet,
+    faults: tuple[str, str],
+) -> None:
     await fleet.start('store', 'standins.store', fleet.store)
     await wait_for_port(fleet.store)
     await fleet.put('op/config', build_platform_configuration())
     for name, address in fleet.replicas.items():
-        await fleet.start(name, 'standins.replica', address, name)
+        await fleet.start(name, 'standins.replica', address, name, *faults)
         await wait_for_port(address)
         await fleet.put(f'servers/{name}', _server(name, address))
     await _start_instances(fleet)
--- a/src/masticstage/platform/store.py
+++ b/src/masticstage/platform/store.py
@@ -25,10 +25,14 @@
 class StoreClient:
     """Reads the store of one deployment."""
 
-    def __init__(self, address: str) -> None:
-        """Creates the connection pool for the store's address."""
+    def __init__(
+        self,
+        address: str,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Creates the connection pool; a transport replaces the network."""
         self._address = f'http://{address}'
-        self._client = httpx.AsyncClient(trust_env=False)
+        self._client = httpx.AsyncClient(trust_env=False, transport=transport)
 
     async def read_all(self) -> News:
         """Reads every record; pages are not a snapshot.
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -6,7 +6,10 @@
 """
 
 import enum
+import sys
 from collections import deque
+from collections.abc import Callable
+from random import Random
 from typing import Final, final
 
 import attrs
@@ -48,6 +51,8 @@
     requests: list[dict[str, str]] = attrs.field(factory=list)
     bodies: list[bytes] = attrs.field(factory=list)
     events: int = _EVENTS
+    draw: Callable[[], Fault] = lambda: Fault.SOUND
+    note_run: Callable[[str], None] = lambda _: None
     is_healthy: bool = True
     open_requests: int = 0
 
@@ -79,7 +84,7 @@
             return True
         self.requests.append(fields)
         self.bodies.append(body)
-        fault = self.faults.popleft() if self.faults else Fault.SOUND
+        fault = self.faults.popleft() if self.faults else self.draw()
         self.open_requests += 1
         is_kept = False
         try:
@@ -117,6 +122,7 @@
             await _refuse(stream, parser, 503, (('X-Not-Executed', '1'),))
             return True
         self.ran.append(fields['x-request-id'])
+        self.note_run(fields['x-request-id'])
         if fault is Fault.SILENT:
             await trio.sleep_forever()
         if fault is Fault.RESET:
@@ -257,10 +263,37 @@
     await stream.send_all(b''.join(piece for piece in pieces if piece))
 
 
-def run(address: str, name: str) -> None:
-    """Runs a sound replica until it is killed."""
+def _draw(random: Random, fault_share: float) -> Fault:
+    if random.random() >= fault_share:
+        return Fault.SOUND
+    return random.choice(list(Fault))
+
+
+def _print_run(request_id: str) -> None:
+    sys.stdout.write(f'ran {request_id}\n')
+    sys.stdout.flush()
+
+
+def run(
+    address: str,
+    name: str,
+    fault_share: float = 0,
+    seed: int = 0,
+) -> None:
+    """Runs a replica until it is killed; it prints the ids that it ran.
+
+    Args:
+        address: where it listens, host:port.
+        name: its own name.
+        fault_share: part of the requests that meet a random fault.
+        seed: seed of the faults.
+
+    """
     host, _, port = address.rpartition(':')
+    random = Random(seed)
     replica = Replica(name)
+    replica.draw = lambda: _draw(random, fault_share)
+    replica.note_run = _print_run
 
     async def serve() -> None:
         await trio.serve_tcp(replica.converse, int(port), host=host)
