Weigh reading again by how busy the engine is

Under load histories spread for small gains of time and pushed others out of memory. Change: away from its home, reading costs more the more an engine has to read.

--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -44,8 +44,14 @@
 _LATE_WIDTH: Final = 0.12
 #: Cost of each target's worth of time: of two on time, the faster one.
 _TIME_COST: Final = 0.06
-#: Cost of reading the shared parts of a prompt again, by their part of it.
+#: Cost of reading the shared parts of a prompt again, by their part of it: its
+#: price, and at a busy engine the answers that it delays.
 _READ_COST: Final = 0.3
+_BUSY_READ_COST: Final = 1.0
+#: Unread tokens at an engine from which it counts as busy: 0.3 s of reading.
+_BUSY_TOKENS: Final = 18_000
+#: Rank that counts all unread tokens, whatever their priority.
+_ALL_RANKS: Final = 1000
 #: Cost of the bytes between regions, for a request and its answer.
 _CROSSING_COST: Final = 0.04
 #: Cost of a failure that ends a request, and of one that is repeated.
@@ -243,10 +249,17 @@
         if place.via is not None:
             cost += _CROSSING_COST
         if request.prompt.tokens_in and not is_home:
-            unread = max(0, uncached - request.prompt.own_tokens)
-            cost += _READ_COST * unread / request.prompt.tokens_in
+            cost += self._read_cost(place, request.prompt, uncached)
         return Choice(place, expected_s, cost, uncached)
 
+    def _read_cost(self, place: Place, prompt: Prompt, uncached: int) -> float:
+        """Returns the cost of reading shared parts away from their home."""
+        unread = max(0, uncached - prompt.own_tokens)
+        pending = self._loads.unread_tokens(place.state, _ALL_RANKS)
+        busy = min(1, pending / _BUSY_TOKENS)
+        cost = _READ_COST + busy * _BUSY_READ_COST
+        return cost * unread / prompt.tokens_in
+
     def _expected_s(
         self,
         place: Place,
--- a/tests/patterns/test_shared_histories.py
+++ b/tests/patterns/test_shared_histories.py
@@ -6,6 +6,7 @@
     build_prompt,
     build_record,
     build_request,
+    build_route,
     build_stream_route,
     build_world,
 )
@@ -41,3 +42,31 @@
 
 def test_taking_turns_would_read_most_of_them_everywhere():
     assert _read_again(is_shared=False) > _HISTORIES
+
+
+def test_a_busy_fleet_does_not_spread_histories_for_a_little_time():
+    world = build_world()
+    for number in range(3):
+        world.add(build_record(f'e{number}', service='model'))
+    route = build_stream_route(target=build_route().target * 4)
+    plan = build_request(prompt=build_prompt('7'))
+    home = world.chooser.choose(plan, route, 'model').upstream
+    for number in range(3):
+        # Each engine has over half a second of prompts to read; the home more.
+        occupation = world.loads.state(f'e{number}').direct
+        occupation.pending_tokens[0] = 36_000
+    world.loads.state(home).direct.pending_tokens[0] = 54_000
+
+    assert world.chooser.choose(plan, route, 'model').upstream == home
+
+
+def test_an_idle_engine_takes_a_history_from_a_home_that_would_be_late():
+    world = build_world()
+    for number in range(3):
+        world.add(build_record(f'e{number}', service='model'))
+    route = build_stream_route(target=build_route().target * 4)
+    plan = build_request(prompt=build_prompt('7'))
+    home = world.chooser.choose(plan, route, 'model').upstream
+    world.loads.state(home).direct.pending_tokens[0] = 80_000
+
+    assert world.chooser.choose(plan, route, 'model').upstream != home
