Learn the length of calls without their queue; weigh busy reading more

Change: only calls without a queue teach the length. Away from home, reading at a busy engine costs 1.6 of its part of the prompt (1.0 before).

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -347,5 +347,4 @@
         choice.place.state.pace * seen_s / choice.expected_s,
     )
     if not task.is_stream:
-        chooser = gateway.beliefs.chooser
-        chooser.note_call(task.service, seen_s / choice.place.state.pace)
+        gateway.beliefs.chooser.note_call(choice, seen_s)
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -47,9 +47,9 @@
 #: Cost of reading the shared parts of a prompt again, by their part of it: its
 #: price, and at a busy engine the answers that it delays.
 _READ_COST: Final = 0.3
-_BUSY_READ_COST: Final = 1.0
-#: Unread tokens at an engine from which it counts as busy: 0.3 s of reading.
-_BUSY_TOKENS: Final = 18_000
+_BUSY_READ_COST: Final = 1.6
+#: Unread tokens at an engine from which it counts as busy: 0.2 s of reading.
+_BUSY_TOKENS: Final = 12_000
 #: Rank that counts all unread tokens, whatever their priority.
 _ALL_RANKS: Final = 1000
 #: Cost of the bytes between regions, for a request and its answer.
@@ -75,6 +75,12 @@
     state: UpstreamState
     via: Member | None
 
+    @property
+    def slots(self) -> int:
+        """Requests that the upstream runs at once."""
+        engine = self.plan.engine
+        return max(1, engine.slots if engine else self.known.record.slots)
+
     @property
     def occupation(self) -> Occupation:
         """Where requests to this place are counted."""
@@ -85,13 +91,15 @@
 class Choice:
     """A place with the predicted time to its first event or answer.
 
-    `cost` is the share of the request's worth that is expected to be lost.
+    `cost` is the share of the request's worth that is expected to be lost,
+    `ahead` the number of requests that wait before this one.
     """
 
     place: Place
     expected_s: float
     cost: float
     uncached_tokens: int
+    ahead: int = 0
 
     @property
     def upstream(self) -> str:
@@ -153,10 +161,16 @@
         known = self._hops_s.get(region)
         self._hops_s[region] = _average(known, seconds)
 
-    def note_call(self, service: str, seconds: float) -> None:
-        """Learns how long a plain call takes at an upstream."""
+    def note_call(self, choice: Choice, seconds: float) -> None:
+        """Learns how long a plain call takes at an upstream without a queue.
+
+        What it takes longer behind others is predicted, not learnt.
+        """
+        service = choice.place.plan.name
         known = self._calls_s.get(service, _CALL_S)
-        self._calls_s[service] = _average(known, seconds)
+        if not choice.ahead:
+            seen_s = seconds / choice.place.state.pace
+            self._calls_s[service] = _average(known, seen_s)
 
     def note_cold_dispatch(self, choice: Choice) -> None:
         """Notes a request that goes to a cold upstream."""
@@ -250,7 +264,7 @@
             cost += _CROSSING_COST
         if request.prompt.tokens_in and not is_home:
             cost += self._read_cost(place, request.prompt, uncached)
-        return Choice(place, expected_s, cost, uncached)
+        return Choice(place, expected_s, cost, uncached, self._ahead(place))
 
     def _read_cost(self, place: Place, prompt: Prompt, uncached: int) -> float:
         """Returns the cost of reading shared parts away from their home."""
@@ -269,20 +283,23 @@
         """Predicts the time to the first event or the answer."""
         state, engine = place.state, place.plan.engine
         if engine is None:
-            slots = max(1, place.known.record.slots)
             serve_s = self.call_s(place.plan.name)
             hold_s = serve_s
         else:
-            slots = engine.slots
             unread = self._loads.unread_tokens(state, priority) + uncached
             serve_s = _FIRST_EVENT_S + unread / _TOKENS_PER_S
             hold_s = _STREAM_S
-        ahead = max(0, self._loads.in_flight(state) - slots + 1)
-        expected_s = (serve_s + hold_s * ahead / slots) * state.pace
+        wait_s = hold_s * self._ahead(place) / place.slots
+        expected_s = (serve_s + wait_s) * state.pace
         if place.via is None:
             return expected_s
         return expected_s + self._hop_s(place.via.region)
 
+    def _ahead(self, place: Place) -> int:
+        """Returns how many requests wait before a new one would run."""
+        in_flight = self._loads.in_flight(place.state)
+        return max(0, in_flight - place.slots + 1)
+
     def _failure_cost(self, place: Place, route: Route) -> float:
         cost = _REPEAT_COST if route.is_idempotent else _FAILURE_COST
         return cost * self._loads.failure_rate(place.state)
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -1,5 +1,7 @@
 """Tests of where a dispatch goes."""
 
+import attrs
+
 from masticstage.forwarding.loads import SharedLoad
 from tests.routed import (
     build_member,
@@ -37,7 +39,7 @@
     world = build_world(build_member('peer', 'south'))
     world.add(build_record('far', **_SOUTH))
     world.add(build_record('near'))
-    world.chooser.note_call('shop', 0.2)
+    _teach_call(world, 0.2)
     world.loads.state('near').direct.in_flight = 30
 
     choice = _choose(world)
@@ -78,7 +80,7 @@
     assert _choose(world).upstream == 'sound'
 
     world.advance(30)
-    world.chooser.note_call('shop', 0.2)
+    _teach_call(world, 0.2)
     world.loads.state('sound').direct.in_flight = 12
     assert _choose(world).upstream == 'grey'
 
@@ -161,3 +163,22 @@
     other = world.chooser.local(request, route, 'one', ('one',))
     assert other.upstream == 'two'
     assert world.chooser.local(request, route, 'far', ('one', 'two')) is None
+
+
+def _teach_call(world, seconds):
+    """Lets the chooser see calls of a length at an idle upstream."""
+    choice = _choose(world)
+    for _ in range(30):
+        world.chooser.note_call(attrs.evolve(choice, ahead=0), seconds)
+
+
+def test_a_queue_does_not_make_calls_look_longer_than_they_are():
+    world = build_world()
+    world.add(build_record('one'))
+    _teach_call(world, 0.1)
+    world.loads.state('one').direct.in_flight = 20
+    crowded = _choose(world)
+    for _ in range(30):
+        world.chooser.note_call(crowded, crowded.expected_s)
+
+    assert _choose(world).expected_s == crowded.expected_s
