Start without saved repeats; ask no leaving peers; drop states of gone upstreams

Cause (reading): a restarted instance had its whole slack again within the window in which its last life may have used it; exchanges went on to instances that had left for up to 200 s; states of upstreams that were gone were kept. Change: slack grows over the first window (test failed first); leaving peers are not asked; states of unlisted upstreams are dropped each second.

--- a/src/masticstage/edges/exchanges.py
+++ b/src/masticstage/edges/exchanges.py
@@ -228,7 +228,11 @@
 
 def _partners(gateway: Gateway, rounds: _Rounds) -> list[Member]:
     members = gateway.beliefs.members
-    others = members.others()
+    others = [
+        member
+        for member in members.others()
+        if member.liveness is not Liveness.LEAVING
+    ]
     near = [one for one in others if one.region == gateway.region]
     far = [one for one in others if one.region != gateway.region]
     chosen = _draw(rounds.random, near, _NEAR) + _draw(rounds.random, far, _FAR)
--- a/src/masticstage/edges/life.py
+++ b/src/masticstage/edges/life.py
@@ -30,6 +30,8 @@
 #: Period of the ticks by which a standstill of the process is noticed.
 _TICK_S: Final = 0.1
 _POLL_S: Final = 0.1
+#: Pause between two rounds of dropping what is no longer used.
+_DISCARD_S: Final = 1.0
 #: Pause between two looks at the settings file.
 _SETTINGS_S: Final = 1.0
 #: Least length of a drain: callers keep a list of entries for a second. When
@@ -56,7 +58,7 @@
         believe_absences,
         check_doubtful,
         run_exchanges,
-        _discard_connections,
+        _discard_old,
         _watch_settings,
     ):
         nursery.start_soon(_keep_running, gateway, task)
@@ -143,9 +145,12 @@
     gateway.settings_file.reload(log)
 
 
-async def _discard_connections(gateway: Gateway) -> None:
+async def _discard_old(gateway: Gateway) -> None:
+    """Drops idle connections and the states of upstreams that are gone."""
     while True:
-        await trio.sleep(1)
+        await trio.sleep(_DISCARD_S)
+        listed = gateway.beliefs.view.everything()
+        gateway.beliefs.loads.keep_only([one.record.name for one in listed])
         links = gateway.links
         for pool in (links.upstreams, links.peers, links.exchanges):
             pool.discard_old()
--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -81,7 +81,6 @@
         beliefs = gateway.beliefs
         due = beliefs.trouble.believe_at()
         for name in beliefs.view.believe_absences(due):
-            beliefs.loads.forget(name)
             gateway.log.record('absence_believed', upstream=name)
 
 
--- a/src/masticstage/forwarding/budgets.py
+++ b/src/masticstage/forwarding/budgets.py
@@ -50,6 +50,11 @@
     _least_instances: int
     _windows: dict[str, _Window] = attrs.field(factory=dict)
     _instances: int = 1
+    _started: timedelta = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Notes the start of this life."""
+        self._started = self._clock.elapsed()
 
     def note_instances(self, count: int) -> None:
         """Notes how many instances there are; the largest count holds."""
@@ -68,7 +73,7 @@
         window = self._window(service)
         instances = max(self._instances, self._least_instances)
         earned = self._bounds.ratio * len(window.requests)
-        allowed = _SAFETY * (earned + self._bounds.slack / instances)
+        allowed = _SAFETY * (earned + self._slack() / instances)
         return allowed - len(window.repeats)
 
     def try_take(self, service: str) -> bool:
@@ -78,6 +83,14 @@
         self.note_repeat(service)
         return True
 
+    def _slack(self) -> float:
+        """Returns the slack; a new instance starts without any.
+
+        Its last life may have used its part within the same window.
+        """
+        age = self._clock.elapsed() - self._started
+        return self._bounds.slack * min(1, age / self._bounds.window)
+
     def _window(self, service: str) -> _Window:
         window = self._windows.setdefault(service, _Window())
         length_s = self._bounds.window.total_seconds()
--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final, final
 
 import attrs
@@ -127,9 +127,10 @@
             self._states[name] = known
         return known
 
-    def forget(self, name: str) -> None:
-        """Drops the state of an upstream that is gone."""
-        self._states.pop(name, None)
+    def keep_only(self, names: Collection[str]) -> None:
+        """Drops the states of upstreams that are gone."""
+        for gone in self._states.keys() - set(names):
+            self._states.pop(gone)
 
     def in_flight(self, state: UpstreamState) -> int:
         """Returns the requests that are believed to be at an upstream."""
