--- a/tests/edges/entry.py
+++ b/tests/edges/entry.py
@@ -19,7 +19,6 @@
 from standins.replica import Replica
 
 _TEST_S = 20
-_POLL_S = 0.02
 
 
 def run_briefly(function):
@@ -88,16 +87,3 @@
         'north',
         8,
     )
-
-
-async def wait_for_listener(address: str) -> None:
-    """Waits until something listens on an address."""
-    host, _, port = address.rpartition(':')
-    while True:
-        try:
-            stream = await trio.open_tcp_stream(host, int(port))
-        except OSError:
-            await trio.sleep(_POLL_S)
-        else:
-            await stream.aclose()
-            return
--- a/tests/edges/test_gateway.py
+++ b/tests/edges/test_gateway.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from bench.ports import wait_for_port
 from masticstage.clock import SystemClock, milliseconds
 from masticstage.composition import build_gateway
 from masticstage.edges.connections import Connection, Outgoing, connect
@@ -21,7 +22,6 @@
     free_addresses,
     publish_replica,
     run_briefly,
-    wait_for_listener,
 )
 from tests.routed import build_route, build_stream_route, build_table
 
@@ -109,7 +109,7 @@
             gateway.beliefs.view.take(f'u/{record.name}', record)
         gateway.beliefs.view.take('c', table or build_table())
         nursery.start_soon(run_gateway, gateway)
-        await wait_for_listener(gateway.settings.listen.callers)
+        await wait_for_port(gateway.settings.listen.callers)
         yield Entry(gateway, replicas)
         nursery.cancel_scope.cancel()
 
--- /dev/null
+++ b/tests/edges/test_life.py
@@ -0,0 +1,115 @@
+"""Tests of starting and stopping one instance."""
+
+import httpx
+import trio
+
+from bench.ports import wait_for_port
+from masticstage.clock import SystemClock
+from masticstage.composition import build_gateway
+from masticstage.edges.connections import Outgoing, connect
+from masticstage.edges.life import run_gateway
+from standins.replica import Replica
+from tests.edges.entry import (
+    build_entry_settings,
+    free_addresses,
+    publish_replica,
+    run_briefly,
+)
+from tests.routed import build_table
+
+_HEADERS = (
+    (b'host', b'shop.example'),
+    (b'x-deadline-ms', b'4000'),
+    (b'x-token-counts', b'900,50'),
+    (b'x-prompt-prefix', b'a1:800,b2:100'),
+)
+
+
+async def _status(address, path):
+    async with httpx.AsyncClient(trust_env=False) as client:
+        answer = await client.get(f'http://{address}{path}')
+    return answer.status_code
+
+
+async def _ask(gateway, request_id):
+    address = gateway.settings.listen.callers
+    connection = await connect(address, 1, SystemClock())
+    headers = (*_HEADERS, (b'x-request-id', request_id))
+    outgoing = Outgoing(b'POST', b'/ask/1', headers, b'question')
+    await connection.send(outgoing, gateway.spawn)
+    head = await connection.read_head()
+    return connection, head
+
+
+async def _start(nursery, events):
+    replica = Replica('model-1', events=events)
+    record = await publish_replica(nursery, replica, 'model')
+    settings_file = build_entry_settings(*free_addresses(5))
+    gateway = build_gateway(settings_file, SystemClock(), nursery)
+    gateway.beliefs.view.take('u', record)
+    return gateway
+
+
+@run_briefly
+async def test_readiness_begins_with_a_configuration():
+    async with trio.open_nursery() as nursery:
+        gateway = await _start(nursery, 6)
+        nursery.start_soon(run_gateway, gateway)
+        readiness = gateway.settings.listen.readiness
+        await wait_for_port(readiness)
+        assert await _status(readiness, '/-/ready') == 503
+
+        gateway.beliefs.view.take('c', build_table())
+
+        assert await _status(readiness, '/-/ready') == 200
+        nursery.cancel_scope.cancel()
+
+
+@run_briefly
+async def test_a_stop_ends_no_stream_and_takes_no_time_without_one():
+    async with trio.open_nursery() as nursery:
+        gateway = await _start(nursery, 250)
+        gateway.beliefs.view.take('c', build_table())
+        ended = trio.Event()
+
+        async def run():
+            async with trio.open_nursery() as own:
+                object.__setattr__(gateway, 'nursery', own)
+                await run_gateway(gateway)
+            ended.set()
+
+        nursery.start_soon(run)
+        await wait_for_port(gateway.settings.listen.callers)
+        connection, head = await _ask(gateway, b'r-1')
+        assert head.status == 200
+
+        gateway.drain.request()
+        await trio.sleep(0.1)
+        readiness = gateway.settings.listen.readiness
+        assert await _status(readiness, '/-/ready') == 503
+        late, late_head = await _ask(gateway, b'r-2')
+        assert late_head.status == 200
+        assert (b'connection', b'close') in late_head.headers
+
+        body = await connection.read_body()
+        assert body.count(b'\n\n') == 250
+        assert (await late.read_body()).count(b'\n\n') == 250
+        with trio.fail_after(3):
+            await ended.wait()
+        nursery.cancel_scope.cancel()
+
+
+@run_briefly
+async def test_entries_name_this_instance_until_it_has_left():
+    async with trio.open_nursery() as nursery:
+        gateway = await _start(nursery, 6)
+        gateway.beliefs.view.take('c', build_table())
+        nursery.start_soon(run_gateway, gateway)
+        listen = gateway.settings.listen
+        await wait_for_port(listen.entries)
+        query = '/-/resolve?Name=shop.example&Region=north&Zone=north-a'
+        async with httpx.AsyncClient(trust_env=False) as client:
+            answer = await client.get(f'http://{listen.entries}{query}')
+        assert answer.json()['Addresses'] == [listen.callers]
+        assert await _status(listen.entries, '/other') == 404
+        nursery.cancel_scope.cancel()
