--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -63,6 +63,9 @@
 #: Cost of a failure that ends a request, and of one that is repeated.
 _FAILURE_COST: Final = 1.0
 _REPEAT_COST: Final = 0.35
+#: Share of failures that says nothing about an upstream: some look-ups fail
+#: in one of seven cases wherever they are asked.
+_USUAL_FAILURES: Final = 0.25
 #: Delay to another region and back until it was measured, in seconds.
 _DEFAULT_HOP_S: Final = 0.11
 #: Weight of a new observation in a moving average.
@@ -335,7 +338,8 @@
 
     def _failure_cost(self, place: Place, route: Route) -> float:
         cost = _REPEAT_COST if route.is_idempotent else _FAILURE_COST
-        return cost * self._loads.failure_rate(place.state)
+        rate = self._loads.failure_rate(place.state)
+        return cost * max(0, rate - _USUAL_FAILURES)
 
     def _state(self, known: KnownUpstream, plan: ServicePlan) -> UpstreamState:
         engine = plan.engine
