Tell peers that are behind of deletions that were never seen

Cause: found by the state machine of records (minimal history in the test): an instance that read everything after a deletion did not know of it, and its news to a peer that was behind left the deleted record in force there: an upstream that is gone, an evacuation that has ended. Change: after a whole read, peers that are behind it get everything.

--- a/src/masticstage/forwarding/image.py
+++ b/src/masticstage/forwarding/image.py
@@ -54,6 +54,8 @@
         changed = [event for event in news.events if self._merge(event)]
         if news.is_whole:
             changed.extend(self._remove_unlisted(news))
+            # Deletions before it are known only of keys that were known here.
+            self._forgotten = max(self._forgotten, news.revision)
         self._revision = max(self._revision, news.revision)
         self._trim()
         return changed
--- a/tests/forwarding/test_image.py
+++ b/tests/forwarding/test_image.py
@@ -89,3 +89,13 @@
 
     assert image.since(5).is_whole
     assert not image.since(2098).is_whole
+
+
+def test_a_deletion_that_was_never_seen_reaches_a_peer_that_is_behind():
+    behind, fresh = RecordImage(), RecordImage()
+    behind.take(News((RecordEvent('a', 1, b'1'),), 1, is_whole=True))
+    fresh.take(News((), 2, is_whole=True))
+
+    behind.take(fresh.since(behind.revision))
+
+    assert not _records(behind)
