--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 CODE := src standins bench tools tests
 
-.PHONY: setup run run-platform soak serve test check unit prove prove-checks measure capacity generate format clean
+.PHONY: setup run run-platform soak event-delay serve test check unit prove prove-checks measure capacity generate format clean
 
 setup: $(READY)
 
@@ -28,6 +28,10 @@
 soak: $(READY)
 	$(BIN)/python -m bench.soak --seed=$(SEED)
 
+# How long an event takes through one instance.
+event-delay: $(READY)
+	$(BIN)/python -m bench.event_delay
+
 # Keeps a deployment running for trials by hand; Ctrl-C stops it.
 serve: $(READY)
 	$(BIN)/python -m bench.serve
