Search for broken ticket books the same way in every run

The search drew anew each time, so its verdict did too; nothing was wrong with the product. Change: the same check with a fixed search of up to 6000 runs. The sound books are still searched at random.

--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -181,7 +181,15 @@
     database=None,
     report_multiple_bugs=False,
 )
-SEARCH = settings(SETTINGS, phases=(Phase.generate,), max_examples=3000)
+#: The search is the same in every run, so that its verdict is: at random it once
+#: missed the impostor in 3000 runs.
+SEARCH = settings(
+    SETTINGS,
+    phases=(Phase.generate,),
+    max_examples=6000,
+    derandomize=True,
+    database=None,
+)
 TestTickets = TicketMachine.TestCase
 TestTickets.settings = SETTINGS
 
