--- a/tests/routed.py
+++ b/tests/routed.py
@@ -11,7 +11,6 @@
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.published import UpstreamRecord
 from masticstage.forwarding.requests import (
-    NO_PROMPT,
     CallerRequest,
     CallKind,
     Prompt,
@@ -148,8 +147,3 @@
     view.take('c', build_table())
     chooser = Chooser(clock, Random(1), view, loads, members)
     return World(clock, view, loads, members, chooser)
-
-
-def no_prompt() -> Prompt:
-    """Returns the prompt of a request to an application."""
-    return NO_PROMPT
