--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -181,8 +181,8 @@
     database=None,
     report_multiple_bugs=False,
 )
-#: The search is the same in every run, so that its verdict is: at random it once
-#: missed the impostor in 3000 runs.
+#: The search is the same in every run, so that its verdict is.  At random it
+#: once missed the impostor in 3000 runs.
 SEARCH = settings(
     SETTINGS,
     phases=(Phase.generate,),
