Name stopping instances at home before regions that are no home

The three instances of the homes were all stopping, for up to 7.6 s each behind long streams, and named for 1.8 s only. Change: where no instance of a home is live, those that still run are named, which refuse with a time to come back, before one in a region that may not serve.

--- a/src/masticstage/edges/entrance.py
+++ b/src/masticstage/edges/entrance.py
@@ -8,10 +8,14 @@
 from masticstage.edges.listeners import Reply
 from masticstage.forwarding.entries import CallerPlace, nearest_entries
 from masticstage.forwarding.wire import RawRequest
+from masticstage.membership import Member
 
 #: Time for which a leaving instance may still be named. It serves for three
 #: seconds, and callers use a list for one.
 _STILL_SERVING: Final = timedelta(seconds=1.8)
+#: Time for which an instance that stops may still run: the grace of 8 s less
+#: the time for which callers keep a list.
+_STILL_RUNNING: Final = timedelta(seconds=7)
 _TEXT: Final = ((b'content-type', b'text/plain; version=0.0.4'),)
 
 
@@ -41,20 +45,31 @@
     members = gateway.beliefs.members
     table = gateway.beliefs.view.table
     homes = table.homes_of(query.host) if table else ()
-    leaving = list(members.leaving_for(_STILL_SERVING))
-    drain_at = gateway.activity.drain_at
-    if drain_at and gateway.clock.elapsed() - drain_at < _STILL_SERVING:
-        leaving.append(members.own)
+    leaving, stopping = _stopping(gateway)
     addresses = nearest_entries(
         [members.own, *members.others()],
         leaving,
         CallerPlace(query.data_centre, query.region, homes),
+        stopping,
     )
     answer = gateway.wire.write_entries(addresses)
     headers = ((b'content-type', answer.media_type.encode()),)
     await reply.whole(HTTPStatus.OK, headers, answer.body)
 
 
+def _stopping(gateway: Gateway) -> tuple[list[Member], list[Member]]:
+    """Returns instances that stop: those that still serve, and the others."""
+    members = gateway.beliefs.members
+    serving = list(members.leaving_for(_STILL_SERVING))
+    running = members.leaving_for(_STILL_RUNNING)
+    refusing = [one for one in running if one not in serving]
+    drain_at = gateway.activity.drain_at
+    if drain_at is not None:
+        is_serving = gateway.clock.elapsed() - drain_at < _STILL_SERVING
+        (serving if is_serving else refusing).append(members.own)
+    return serving, refusing
+
+
 async def answer_metrics(
     gateway: Gateway,
     _raw: RawRequest,
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -25,8 +25,8 @@
 _NOT_READY_RETRY: Final = timedelta(milliseconds=400)
 #: When to come back after a refusal for want of an upstream.
 _REFUSED_RETRY: Final = timedelta(milliseconds=300)
-#: When to come back from an instance that is stopping: at once, elsewhere.
-_DRAIN_RETRY: Final = timedelta(milliseconds=20)
+#: When to come back from an instance that is stopping: soon, elsewhere.
+_DRAIN_RETRY: Final = timedelta(milliseconds=150)
 #: Time after the signal to stop in which new requests are still served;
 #: what starts then has the rest of the grace to end in.
 _LATE_WORK: Final = timedelta(seconds=3)
--- a/src/masticstage/forwarding/entries.py
+++ b/src/masticstage/forwarding/entries.py
@@ -15,8 +15,9 @@
 _SAME_REGION: Final = 1
 _AT_HOME: Final = 2
 _LEAVING_NEAR: Final = 3
-_ELSEWHERE: Final = 4
-_LEAVING_ELSEWHERE: Final = 5
+_STOPPING_AT_HOME: Final = 4
+_ELSEWHERE: Final = 5
+_LEAVING_ELSEWHERE: Final = 6
 
 
 @attrs.frozen
@@ -36,16 +37,24 @@
     live: Iterable[Member],
     leaving: Sequence[Member],
     caller: CallerPlace,
+    stopping: Sequence[Member] = (),
 ) -> tuple[str, ...]:
     """Returns the caller addresses of the instances to use.
 
     `live` are instances believed to be live, `leaving` those that have begun
-    to leave a moment ago.  All that are returned share the best rank.
+    to leave a moment ago, `stopping` those that began before: these refuse new
+    work with a time to come back, by which one of their region is live again.
+    All that are returned share the best rank.
     """
     sound = [one for one in live if one.liveness is Liveness.LIVE]
-    known = (*sound, *leaving)
+    known = (*sound, *leaving, *stopping)
     most = max((caller.served(one.region) for one in known), default=0)
-    ranked = [(_rank(one, caller, most), one) for one in known]
+    ranked = [(_rank(one, caller, most), one) for one in (*sound, *leaving)]
+    ranked.extend(
+        (_STOPPING_AT_HOME, one)
+        for one in stopping
+        if caller.homes and caller.served(one.region) == most
+    )
     best = min((rank for rank, _ in ranked), default=0)
     chosen = [one.caller_address for rank, one in ranked if rank == best]
     return tuple(chosen[:MAX_ENTRIES])
--- a/tests/forwarding/test_entries.py
+++ b/tests/forwarding/test_entries.py
@@ -64,3 +64,12 @@
     assert listed == ('n:2',)
     listed = _list((_EAST,), _NORTH_OR_SOUTH, leaving=(_SOUTH,))
     assert listed == ('s:2',)
+
+
+def test_stopping_instances_at_home_come_before_regions_that_are_none():
+    stopping = [attrs.evolve(_NORTH, liveness=Liveness.LEAVING)]
+    south = CallerPlace('south-a', 'south', (_NORTH_OR_SOUTH,))
+    assert nearest_entries([_EAST], [], south, stopping) == ('n:2',)
+    assert nearest_entries([_SOUTH], [], south, stopping) == ('s:2',)
+    unbound = CallerPlace('south-a', 'south')
+    assert nearest_entries([_EAST], [], unbound, stopping) == ('e:2',)
