Sum load by region between instances; share outcomes of upstreams

A grey upstream had to be found out by each instance alone, from a few outcomes.

Change: instances of a region tell each other own counts as before; to other regions they tell the sums over their region, every second period. Recent outcomes go along, with weights that fade, and an upstream costs more by what it fails above the median of its service (before: above a quarter).

--- a/src/masticstage/edges/checks.py
+++ b/src/masticstage/edges/checks.py
@@ -67,9 +67,9 @@
         for known in gateway.beliefs.view.everything():
             record = known.record
             state = gateway.beliefs.loads.state(record.name, record.born_ms)
-            is_due = gateway.beliefs.loads.is_check_due(state)
+            is_due = state.health.is_check_due(gateway.elapsed_s())
             if is_due and record.region == gateway.region:
-                state.check_at_s += _CHECK_S
+                state.health.check_at_s += _CHECK_S
                 gateway.spawn(_check_again, gateway, known)
 
 
@@ -99,12 +99,11 @@
 
 async def _check_again(gateway: Gateway, known: KnownUpstream) -> None:
     record = known.record
-    loads = gateway.beliefs.loads
-    state = loads.state(record.name, record.born_ms)
+    state = gateway.beliefs.loads.state(record.name, record.born_ms)
     failure = await _check(gateway, known)
     if failure is not None:
-        loads.doubt(state)
-    elif loads.clear_doubt(state):
+        state.health.doubt(gateway.elapsed_s())
+    elif state.health.clear_doubt():
         gateway.log.record('upstream_regained', upstream=record.name)
 
 
@@ -153,7 +152,7 @@
     state = gateway.beliefs.loads.state(record.name, record.born_ms)
     gateway.links.upstreams.drop(record.address)
     abandoned = gateway.activity.waits.abandon(record.name)
-    if gateway.beliefs.loads.doubt(state):
+    if state.health.doubt(gateway.elapsed_s()):
         gateway.log.record(
             'upstream_lost',
             upstream=record.name,
--- a/src/masticstage/edges/exchanges.py
+++ b/src/masticstage/edges/exchanges.py
@@ -27,10 +27,11 @@
 
 #: Period of exchanges. Loads are useful for about as long as a short answer.
 _PERIOD_S: Final = 0.25
-#: Instances asked each period: in the own region, and elsewhere, where bytes
-#: between regions have a price.
+#: Instances asked each period in the own region.
 _NEAR: Final = 3
-_FAR: Final = 1
+#: Periods between two questions to an instance elsewhere, where bytes have a
+#: price: each is answered with the sums of a region.
+_FAR_PERIODS: Final = 2
 #: Time for an exchange: some round trips between regions.
 _EXCHANGE_S: Final = 0.7
 #: Time for the news, which may hold all records.
@@ -85,11 +86,26 @@
 ) -> pb.FleetExchange:
     """Takes over what another instance tells; returns own views."""
     _take(gateway, message)
-    return _compose(gateway, is_full=message.is_joining)
+    sender = gateway.beliefs.members.find(message.sender.name)
+    region = sender.region if sender else gateway.region
+    return _compose(gateway, region, is_full=message.is_joining)
 
 
-def _compose(gateway: Gateway, *, is_full: bool) -> pb.FleetExchange:
+def _compose(
+    gateway: Gateway,
+    region: str,
+    *,
+    is_full: bool,
+) -> pb.FleetExchange:
+    """Returns own views for an instance of a region.
+
+    Those of this region get own counts and sum them up; each of them tells
+    the sums elsewhere, where nobody can ask all of them.
+    """
     beliefs = gateway.beliefs
+    is_near = region == gateway.region
+    loads = beliefs.loads
+    told = loads.shared() if is_near else loads.shared_region()
     own = beliefs.members.own.identity
     members = (
         beliefs.members.everything()
@@ -100,7 +116,8 @@
         sender=pb.Incarnation(name=own.name, number=own.incarnation),
         members=[encode_member(member) for member in members],
         published_revision=beliefs.image.revision,
-        loads=[encode_load(load) for load in beliefs.loads.shared()],
+        loads=[encode_load(load) for load in told],
+        summed_region='' if is_near else gateway.region,
         strikes=[
             pb.Strike(fingerprint=one.fingerprint, upstream=one.upstream)
             for one in beliefs.quarantine.strikes()
@@ -115,7 +132,10 @@
     ):
         _log_member(gateway, member)
     loads = tuple(decode_load(record) for record in message.loads)
-    beliefs.loads.take_shared(message.sender.name, loads)
+    if message.summed_region:
+        beliefs.loads.take_region(message.summed_region, loads)
+    else:
+        beliefs.loads.take_shared(message.sender.name, loads)
     for strike in message.strikes:
         beliefs.quarantine.strike(strike.fingerprint, strike.upstream)
 
@@ -124,7 +144,8 @@
     """Exchanges views with one instance and draws the consequences."""
     name = member.identity.name
     started_s = gateway.elapsed_s()
-    answer = await _call(gateway, member.peer_address, is_joining=False)
+    message = _compose(gateway, member.region, is_full=False)
+    answer = await _call(gateway, member.peer_address, message)
     members = gateway.beliefs.members
     if answer is None or answer.sender.name != name:
         rounds.misses[name] = rounds.misses.get(name, 0) + 1
@@ -139,7 +160,9 @@
 
 
 async def _ask_seed(gateway: Gateway, rounds: _Rounds, address: str) -> None:
-    answer = await _call(gateway, address, is_joining=True)
+    message = _compose(gateway, gateway.region, is_full=False)
+    message.is_joining = True
+    answer = await _call(gateway, address, message)
     if answer is not None:
         await _catch_up(gateway, rounds, address, answer)
 
@@ -147,11 +170,8 @@
 async def _call(
     gateway: Gateway,
     address: str,
-    *,
-    is_joining: bool,
+    message: pb.FleetExchange,
 ) -> pb.FleetExchange | None:
-    message = _compose(gateway, is_full=False)
-    message.is_joining = is_joining
     body = await _post(
         gateway,
         address,
@@ -235,7 +255,9 @@
     ]
     near = [one for one in others if one.region == gateway.region]
     far = [one for one in others if one.region != gateway.region]
-    chosen = _draw(rounds.random, near, _NEAR) + _draw(rounds.random, far, _FAR)
+    chosen = _draw(rounds.random, near, _NEAR)
+    if rounds.count % _FAR_PERIODS == 0:
+        chosen.extend(_draw(rounds.random, far, 1))
     gone = members.gone()
     if gone and rounds.random.random() < _GONE_CHANCE:
         chosen.append(rounds.random.choice(gone))
--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -5,6 +5,7 @@
 
 from masticstage import peer_pb2 as pb
 from masticstage.clock import milliseconds
+from masticstage.forwarding.health import Outcomes
 from masticstage.forwarding.image import News, RecordEvent
 from masticstage.forwarding.loads import SharedLoad
 from masticstage.forwarding.requests import CallerRequest, CallKind
@@ -18,13 +19,16 @@
         upstream=load.upstream,
         in_flight=load.in_flight,
         pending_tokens=dict(load.pending_tokens),
+        failed=load.outcomes.failed,
+        outcomes=load.outcomes.total,
     )
 
 
 def decode_load(record: pb.SharedLoad) -> SharedLoad:
     """Returns a peer's counts at an upstream."""
     pending = tuple(sorted(record.pending_tokens.items()))
-    return SharedLoad(record.upstream, record.in_flight, pending)
+    outcomes = Outcomes(record.failed, record.outcomes)
+    return SharedLoad(record.upstream, record.in_flight, pending, outcomes)
 
 
 def encode_news(news: News, *, is_in_trouble: bool) -> bytes:
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 from math import exp
 from random import Random
+from statistics import median_low
 from typing import Final, final
 
 import attrs
@@ -63,9 +64,10 @@
 #: Cost of a failure that ends a request, and of one that is repeated.
 _FAILURE_COST: Final = 1.0
 _REPEAT_COST: Final = 0.35
-#: Share of failures that says nothing about an upstream: some look-ups fail
-#: in one of seven cases wherever they are asked.
-_USUAL_FAILURES: Final = 0.25
+#: Share of failures above that of the others which says nothing about an
+#: upstream: twice the deviation of a share of 0.14 (usual for some look-ups)
+#: in fifty outcomes.
+_CHANCE_FAILURES: Final = 0.1
 #: Delay to another region and back until it was measured, in seconds.
 _DEFAULT_HOP_S: Final = 0.11
 #: Weight of a new observation in a moving average.
@@ -118,6 +120,18 @@
         return self.place.known.record.name
 
 
+@attrs.frozen
+class _Common:
+    """What all places of one choice are compared with.
+
+    `source` holds the shared parts of the prompt, `usual_failures` is the
+    share of failures that is usual at the service.
+    """
+
+    source: Place | None
+    usual_failures: float
+
+
 @final
 @attrs.define
 class Chooser:
@@ -140,9 +154,12 @@
     ) -> Choice | None:
         """Returns the best place for a request, None when there is none."""
         places = list(self._places(route, service))
-        source = _source_of(request.prompt, places)
+        common = _Common(
+            _source_of(request.prompt, places),
+            self._usual_failures(places),
+        )
         choices = [
-            self._predict(place, request, route, source)
+            self._predict(place, request, route, common)
             for place in places
             if place.known.record.name not in tried
         ]
@@ -157,11 +174,15 @@
     ) -> Choice | None:
         """Returns a place in this region: the preferred one if usable."""
         service = route.service_for(request.request_id)
-        choices = [
-            self._predict(place, request, route, None)
+        places = [
+            place
             for place in self._places(route, service)
             if place.via is None and place.known.record.name not in tried
         ]
+        common = _Common(None, self._usual_failures(places))
+        choices = [
+            self._predict(place, request, route, common) for place in places
+        ]
         for one in choices:
             if one.upstream == preferred:
                 return one
@@ -224,7 +245,7 @@
         via: Member | None,
     ) -> bool:
         state = self._state(known, plan)
-        if state.is_doubtful:
+        if state.health.is_doubtful:
             return False
         if not plan.cold_rate or not self.is_cold(known):
             return True
@@ -263,9 +284,9 @@
         place: Place,
         request: CallerRequest,
         route: Route,
-        source: Place | None,
+        common: '_Common',
     ) -> Choice:
-        prompt = request.prompt
+        prompt, source = request.prompt, common.source
         uncached = place.state.cache.uncached(prompt)
         fetch_from = ''
         cost: float = 0
@@ -276,7 +297,7 @@
         expected_s = self._expected_s(place, uncached, route.priority)
         target_s = route.target.total_seconds() or _DEFAULT_TARGET_S
         cost += _lateness(expected_s / target_s)
-        cost += self._failure_cost(place, route)
+        cost += self._failure_cost(place, route, common.usual_failures)
         if place.via is not None:
             cost += _CROSSING_COST
         return Choice(
@@ -336,10 +357,15 @@
         in_flight = self._loads.in_flight(place.state)
         return max(0, in_flight - place.slots + 1)
 
-    def _failure_cost(self, place: Place, route: Route) -> float:
+    def _usual_failures(self, places: Sequence[Place]) -> float:
+        """Returns the median share of failures at places, the lower one."""
+        rates = [self._loads.outcomes(place.state).rate for place in places]
+        return median_low(rates) if rates else 0
+
+    def _failure_cost(self, place: Place, route: Route, usual: float) -> float:
         cost = _REPEAT_COST if route.is_idempotent else _FAILURE_COST
-        rate = self._loads.failure_rate(place.state)
-        return cost * max(0, rate - _USUAL_FAILURES)
+        rate = self._loads.outcomes(place.state).rate
+        return cost * max(0, rate - usual - _CHANCE_FAILURES)
 
     def _state(self, known: KnownUpstream, plan: ServicePlan) -> UpstreamState:
         engine = plan.engine
--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -12,27 +12,23 @@
 import attrs
 
 from masticstage.clock import Clock
+from masticstage.forwarding.health import Health, Outcomes
 from masticstage.forwarding.prompts import PromptCache
 
 #: Weight of a new observation in a moving average.
 _WEIGHT: Final = 0.2
-#: Weight of a new outcome in the failure rate: about the last seven count.
-_FAILURE_WEIGHT: Final = 0.15
-#: Time after which the failure rate of an unused upstream has halved.
-_FORGIVE_S: Final = 4.0
 #: Age up to which a load that an upstream reported is corrected and used.
 _REPORT_AGE_S: Final = 0.5
 #: Age up to which a peer's counts are used: some lost exchanges.
 _PEER_AGE_S: Final = 2.0
+#: Weight of failures from which an idle upstream is told of as well.
+_LEAST_FAILURES: Final = 0.3
 #: Bounds on the learnt pace: an upstream may be this much slower or faster.
 _LEAST_PACE: Final = 0.5
 _MOST_PACE: Final = 10.0
 #: Part of a less urgent prompt that is read before an urgent one, since it
 #: has begun.
 _BEGUN: Final = 0.3
-#: Pauses between health checks of an upstream in doubt, in seconds.
-_FIRST_DOUBT_S: Final = 0.25
-_LONGEST_DOUBT_S: Final = 2.0
 
 
 @attrs.frozen
@@ -55,12 +51,14 @@
     upstream: str
     in_flight: int
     pending_tokens: PendingTokens
+    outcomes: Outcomes = Outcomes()
 
 
 @attrs.frozen
 class _PeerLoad:
-    """A peer's counts and when they came, in seconds."""
+    """Counts of a peer, or sums of a region, and when they came (s)."""
 
+    source: str
     load: SharedLoad
     at_s: float
 
@@ -82,8 +80,9 @@
     """Counts, health and learnt figures of one upstream.
 
     `direct` is what this instance has there itself, `relayed` what it has
-    sent through peers, who count it as theirs.  `pace` is the ratio of seen
-    to expected times.
+    sent through peers, who count it as theirs.  `peers` is what others of this
+    region have there, `region` the sum that another region told of itself.
+    `pace` is the ratio of seen to expected times.
     """
 
     born_ms: int
@@ -93,14 +92,11 @@
     reported: ReportedLoad | None = None
     reported_at_s: float = 0
     in_flight_when_reported: int = 0
-    failure_rate: float = 0
-    failure_at_s: float = 0
+    health: Health = attrs.field(factory=Health)
     pace: float = 1
-    is_doubtful: bool = False
-    doubt_s: float = _FIRST_DOUBT_S
-    check_at_s: float = 0
     cold_sent_at_s: float = -1
     peers: dict[str, _PeerLoad] = attrs.field(factory=dict)
+    region: _PeerLoad | None = None
 
 
 @final
@@ -135,7 +131,7 @@
     def in_flight(self, state: UpstreamState) -> int:
         """Returns the requests that are believed to be at an upstream."""
         counted = state.direct.in_flight + sum(
-            peer.load.in_flight for peer in self._fresh_peers(state)
+            load.in_flight for load in self._told(state)
         )
         counted = max(counted, state.relayed.in_flight)
         if state.reported is None:
@@ -153,15 +149,16 @@
         is being read already.  What was relayed is counted by peers as well.
         """
         counted = state.direct.unread(priority) + sum(
-            _unread(peer.load.pending_tokens, priority)
-            for peer in self._fresh_peers(state)
+            _unread(load.pending_tokens, priority) for load in self._told(state)
         )
         return max(counted, state.relayed.unread(priority))
 
-    def failure_rate(self, state: UpstreamState) -> float:
-        """Returns the share of recent failures, fading while unused."""
-        idle_s = self._now_s() - state.failure_at_s
-        return float(state.failure_rate * 2 ** (-idle_s / _FORGIVE_S))
+    def outcomes(self, state: UpstreamState) -> Outcomes:
+        """Returns recent outcomes at an upstream, those of others included."""
+        seen = state.health.outcomes(self._now_s())
+        for load in self._told(state):
+            seen = seen.plus(load.outcomes)
+        return seen
 
     def note_report(self, state: UpstreamState, load: ReportedLoad) -> None:
         """Takes over the load that an upstream told with an answer."""
@@ -171,71 +168,94 @@
 
     def note_outcome(self, state: UpstreamState, *, is_failure: bool) -> None:
         """Learns from the end of a dispatch."""
-        rate = self.failure_rate(state)
-        state.failure_rate = rate + _FAILURE_WEIGHT * (is_failure - rate)
-        state.failure_at_s = self._now_s()
+        state.health.note_outcome(self._now_s(), is_failure=is_failure)
 
     def note_pace(self, state: UpstreamState, ratio: float) -> None:
         """Learns from the ratio of a seen to an expected time."""
         bounded = min(max(ratio, _LEAST_PACE), _MOST_PACE)
         state.pace += _WEIGHT * (bounded - state.pace)
 
-    def doubt(self, state: UpstreamState) -> bool:
-        """Stops the use of an upstream until a health check has passed.
-
-        Returns True when it was in use before.
-        """
-        was_used = not state.is_doubtful
-        state.is_doubtful = True
-        state.check_at_s = self._now_s() + state.doubt_s
-        state.doubt_s = min(_LONGEST_DOUBT_S, 2 * state.doubt_s)
-        return was_used
-
-    def clear_doubt(self, state: UpstreamState) -> bool:
-        """Resumes the use of an upstream; True when it was in doubt."""
-        was_doubtful = state.is_doubtful
-        state.is_doubtful = False
-        state.doubt_s = _FIRST_DOUBT_S
-        return was_doubtful
-
-    def is_check_due(self, state: UpstreamState) -> bool:
-        """Tells whether an upstream in doubt is to be checked again."""
-        return state.is_doubtful and self._now_s() >= state.check_at_s
-
     def shared(self) -> tuple[SharedLoad, ...]:
         """Returns what this instance tells its peers."""
-        return tuple(
-            SharedLoad(
-                name,
-                state.direct.in_flight,
-                tuple(sorted(state.direct.pending_tokens.items())),
-            )
+        own = [
+            self._own_load(name, state) for name, state in self._states.items()
+        ]
+        return tuple(load for load in own if _is_worth_telling(load))
+
+    def shared_region(self) -> tuple[SharedLoad, ...]:
+        """Returns the sums over this region, told to other regions.
+
+        Only instances of its region reach an upstream, so these are all.
+        """
+        sums = [
+            _sum(self._own_load(name, state), self._near_peers(state))
             for name, state in self._states.items()
-            if state.direct.in_flight
-        )
+        ]
+        return tuple(load for load in sums if _is_worth_telling(load))
+
+    def take_region(self, region: str, loads: tuple[SharedLoad, ...]) -> None:
+        """Replaces the sums that a region has told before."""
+        for state in self._states.values():
+            if state.region is not None and state.region.source == region:
+                state.region = None
+        now_s = self._now_s()
+        for load in loads:
+            told_of = self._states.get(load.upstream)
+            if told_of is not None:
+                told_of.region = _PeerLoad(region, load, now_s)
 
     def take_shared(self, peer: str, loads: tuple[SharedLoad, ...]) -> None:
-        """Replaces what a peer has told before."""
+        """Replaces what a peer of this region has told before."""
         for state in self._states.values():
             state.peers.pop(peer, None)
         now_s = self._now_s()
         for load in loads:
             told_of = self._states.get(load.upstream)
             if told_of is not None:
-                told_of.peers[peer] = _PeerLoad(load, now_s)
+                told_of.peers[peer] = _PeerLoad(peer, load, now_s)
+
+    def _own_load(self, name: str, state: UpstreamState) -> SharedLoad:
+        return SharedLoad(
+            name,
+            state.direct.in_flight,
+            tuple(sorted(state.direct.pending_tokens.items())),
+            state.health.outcomes(self._now_s()),
+        )
 
-    def _fresh_peers(self, state: UpstreamState) -> list[_PeerLoad]:
-        now_s = self._now_s()
-        return [
-            peer
-            for peer in state.peers.values()
-            if now_s - peer.at_s < _PEER_AGE_S
-        ]
+    def _told(self, state: UpstreamState) -> list[SharedLoad]:
+        """Returns what others have told and is not too old."""
+        region = [state.region] if state.region else []
+        return self._fresh((*state.peers.values(), *region))
+
+    def _near_peers(self, state: UpstreamState) -> list[SharedLoad]:
+        return self._fresh(state.peers.values())
+
+    def _fresh(self, told: Iterable[_PeerLoad]) -> list[SharedLoad]:
+        oldest_s = self._now_s() - _PEER_AGE_S
+        return [peer.load for peer in told if peer.at_s > oldest_s]
 
     def _now_s(self) -> float:
         return self._clock.elapsed().total_seconds()
 
 
+def _is_worth_telling(load: SharedLoad) -> bool:
+    is_failing = load.outcomes.failed > _LEAST_FAILURES
+    return bool(load.in_flight) or is_failing
+
+
+def _sum(own: SharedLoad, others: Iterable[SharedLoad]) -> SharedLoad:
+    """Returns the sum of counts at one upstream."""
+    in_flight = own.in_flight
+    pending = Counter(dict(own.pending_tokens))
+    outcomes = own.outcomes
+    for other in others:
+        in_flight += other.in_flight
+        pending.update(dict(other.pending_tokens))
+        outcomes = outcomes.plus(other.outcomes)
+    tokens = tuple(sorted(pending.items()))
+    return SharedLoad(own.upstream, in_flight, tokens, outcomes)
+
+
 def _unread(pending: Iterable[tuple[int, int]], priority: int) -> float:
     return sum(
         tokens if rank <= priority else _BEGUN * tokens
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -103,7 +103,7 @@
 def test_a_doubtful_upstream_is_not_used():
     world = build_world()
     world.add(build_record('one'))
-    world.loads.doubt(world.loads.state('one'))
+    world.loads.state('one').health.doubt(100)
     assert _choose(world) is None
 
 
--- a/tests/forwarding/test_loads.py
+++ b/tests/forwarding/test_loads.py
@@ -1,7 +1,5 @@
 """Tests of what is believed about the load and health of upstreams."""
 
-from datetime import timedelta
-
 from masticstage.clock import ManualClock
 from masticstage.forwarding.loads import LoadTable, ReportedLoad, SharedLoad
 from tests.routed import SECOND
@@ -49,35 +47,11 @@
 
 def test_a_new_life_of_an_upstream_starts_without_a_past():
     _, table, state = _table()
-    state.failure_rate = 1
+    table.note_outcome(state, is_failure=True)
 
     assert table.state('u-1', 1) is state
-    assert table.state('u-1', 2).failure_rate == 0
-
-
-def test_failures_count_and_fade_while_an_upstream_is_unused():
-    clock, table, state = _table()
-    for _ in range(10):
-        table.note_outcome(state, is_failure=True)
-    assert table.failure_rate(state) > 0.7
-
-    clock.advance(timedelta(seconds=12))
-    assert table.failure_rate(state) < 0.15
-
-
-def test_a_doubtful_upstream_is_checked_ever_less_often_until_it_is_back():
-    clock, table, state = _table()
-    assert table.doubt(state)
-    assert not table.is_check_due(state)
-    clock.advance(0.3 * SECOND)
-    assert table.is_check_due(state)
-
-    assert not table.doubt(state)
-    clock.advance(0.3 * SECOND)
-    assert not table.is_check_due(state)
-
-    assert table.clear_doubt(state)
-    assert not state.is_doubtful
+    assert table.outcomes(state).failed
+    assert not table.outcomes(table.state('u-1', 2)).failed
 
 
 def test_what_was_relayed_is_not_counted_twice():
--- /dev/null
+++ b/tests/patterns/test_many_instances.py
@@ -0,0 +1,64 @@
+"""Load pattern: a region of many instances, of which few are asked.
+
+An instance meets each one elsewhere only every few seconds, and each of them
+has a small part of the work there.
+"""
+
+from masticstage.clock import ManualClock
+from masticstage.forwarding.loads import LoadTable, SharedLoad
+from tests.routed import SECOND
+
+_INSTANCES = 10
+
+
+def _table(*upstreams: str) -> tuple[ManualClock, LoadTable]:
+    clock = ManualClock()
+    clock.advance(100 * SECOND)
+    table = LoadTable(clock)
+    for name in upstreams:
+        table.state(name, 1, 1000)
+    return clock, table
+
+
+def _told_region() -> tuple[SharedLoad, ...]:
+    """Returns what one instance of the south tells elsewhere."""
+    _, table = _table('s-1', 's-2')
+    table.state('s-1').direct.in_flight = 2
+    table.state('s-1').direct.pending_tokens[1] = 100
+    for number in range(1, _INSTANCES):
+        told = (SharedLoad('s-1', 2, ((0, 40), (1, 100))),)
+        table.take_shared(f'south-{number}', told)
+    return table.shared_region()
+
+
+def test_one_instance_tells_the_work_of_its_whole_region():
+    told = {load.upstream: load for load in _told_region()}
+
+    assert set(told) == {'s-1'}
+    assert told['s-1'].in_flight == 2 * _INSTANCES
+    assert dict(told['s-1'].pending_tokens) == {0: 360, 1: 1000}
+
+
+def test_sums_of_a_region_replace_each_other():
+    _, table = _table('s-1')
+    table.take_region('south', _told_region())
+    table.take_region('south', _told_region())
+    state = table.state('s-1')
+
+    assert table.in_flight(state) == 2 * _INSTANCES
+    assert table.unread_tokens(state, 1) == 1360
+
+
+def test_a_sum_is_not_told_to_a_third_region():
+    _, table = _table('s-1')
+    table.take_region('south', _told_region())
+
+    assert not table.shared_region()
+
+
+def test_an_old_sum_counts_no_more():
+    clock, table = _table('s-1')
+    table.take_region('south', _told_region())
+    clock.advance(3 * SECOND)
+
+    assert not table.in_flight(table.state('s-1'))
