--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -89,6 +89,7 @@
         homes=sorted(route.homes),
         last_event_id=order.last_event_id or request.last_event_id,
         fetch_from=order.fetch_from,
+        target_ms=route.target // timedelta(milliseconds=1),
     )
 
 
@@ -101,7 +102,7 @@
         '/',
         CallKind(message.kind),
         remaining,
-        remaining,
+        milliseconds(message.target_ms),
         (Share(message.service, 1),),
         message.priority,
         homes=frozenset(message.homes),
--- a/src/masticstage/edges/relays.py
+++ b/src/masticstage/edges/relays.py
@@ -151,7 +151,9 @@
 
 
 def _fetch_from(message: pb.RoutedRelay, choice: Choice) -> str:
-    """Returns the sender's source of shared parts, unless it was chosen."""
+    """Returns the source of shared parts: the sender's for its own choice."""
+    if choice.upstream != message.upstream:
+        return choice.fetch_from
     is_source = choice.place.known.record.address == message.fetch_from
     return '' if is_source else message.fetch_from
 
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -68,6 +68,9 @@
 #: upstream: twice the deviation of a share of 0.14 (usual for some look-ups)
 #: in fifty outcomes.
 _CHANCE_FAILURES: Final = 0.1
+#: Cost up to which a sender's preference in another region is followed there:
+#: it may know what an engine holds, and its view of the load is older.
+_PREFERENCE: Final = 0.05
 #: Delay to another region and back until it was measured, in seconds.
 _DEFAULT_HOP_S: Final = 0.11
 #: Weight of a new observation in a moving average.
@@ -154,10 +157,7 @@
     ) -> Choice | None:
         """Returns the best place for a request, None when there is none."""
         places = list(self._places(route, service))
-        common = _Common(
-            _source_of(request.prompt, places),
-            self._usual_failures(places),
-        )
+        common = self._common(request.prompt, places)
         choices = [
             self._predict(place, request, route, common)
             for place in places
@@ -172,21 +172,25 @@
         preferred: str,
         tried: Collection[str],
     ) -> Choice | None:
-        """Returns a place in this region: the preferred one if usable."""
+        """Returns a place in this region.
+
+        It is the one that a sender from elsewhere prefers, unless another is
+        clearly better by what is known here.
+        """
         service = route.service_for(request.request_id)
-        places = [
-            place
-            for place in self._places(route, service)
-            if place.via is None and place.known.record.name not in tried
-        ]
-        common = _Common(None, self._usual_failures(places))
+        places = list(self._places(route, service))
+        common = self._common(request.prompt, places)
         choices = [
-            self._predict(place, request, route, common) for place in places
+            self._predict(place, request, route, common)
+            for place in places
+            if place.via is None and place.known.record.name not in tried
         ]
+        best = min(choices, key=_cost, default=None)
         for one in choices:
-            if one.upstream == preferred:
+            is_good = best is None or one.cost <= best.cost + _PREFERENCE
+            if one.upstream == preferred and is_good:
                 return one
-        return min(choices, key=_cost, default=None)
+        return best
 
     def note_hop(self, region: str, seconds: float) -> None:
         """Learns the delay to a region and back."""
@@ -284,7 +288,7 @@
         place: Place,
         request: CallerRequest,
         route: Route,
-        common: '_Common',
+        common: _Common,
     ) -> Choice:
         prompt, source = request.prompt, common.source
         uncached = place.state.cache.uncached(prompt)
@@ -357,6 +361,12 @@
         in_flight = self._loads.in_flight(place.state)
         return max(0, in_flight - place.slots + 1)
 
+    def _common(self, prompt: Prompt, places: Sequence[Place]) -> _Common:
+        return _Common(
+            _source_of(prompt, places),
+            self._usual_failures(places),
+        )
+
     def _usual_failures(self, places: Sequence[Place]) -> float:
         """Returns the median share of failures at places, the lower one."""
         rates = [self._loads.outcomes(place.state).rate for place in places]
--- a/tests/patterns/test_many_instances.py
+++ b/tests/patterns/test_many_instances.py
@@ -6,7 +6,13 @@
 
 from masticstage.clock import ManualClock
 from masticstage.forwarding.loads import LoadTable, SharedLoad
-from tests.routed import SECOND
+from tests.routed import (
+    SECOND,
+    build_record,
+    build_request,
+    build_route,
+    build_world,
+)
 
 _INSTANCES = 10
 
@@ -62,3 +68,19 @@
     clock.advance(3 * SECOND)
 
     assert not table.in_flight(table.state('s-1'))
+
+
+def test_a_preference_from_elsewhere_yields_to_what_is_known_here():
+    world = build_world()
+    for name in ('preferred', 'idle'):
+        world.add(build_record(name))
+    state = world.loads.state('preferred')
+    request, route = build_request(), build_route()
+
+    state.direct.in_flight = 3
+    usual = world.chooser.local(request, route, 'preferred', ())
+    state.direct.in_flight = 60
+    crowded = world.chooser.local(request, route, 'preferred', ())
+
+    assert usual.upstream == 'preferred'
+    assert crowded.upstream == 'idle'
