Count long waits against their upstream

Cause: an upstream that takes requests and is silent (mute, hanging) with a good health answer was found out only when a request's whole time was up, 8 s for a plan that may run once; until then new ones went there as before.

Change: a wait beyond 0.3 s and twice the expected time counts as a failure of its upstream once, at once; an answer that comes later counts as a success. Calls that may run once are noted as well, but never abandoned.

--- a/src/masticstage/edges/checks.py
+++ b/src/masticstage/edges/checks.py
@@ -60,10 +60,7 @@
     """Checks upstreams in doubt again, for the life of the process."""
     while True:
         await trio.sleep(_LOOK_S)
-        for name in gateway.activity.waits.long_at(gateway.elapsed_s()):
-            waited_for = gateway.beliefs.view.find(name)
-            if waited_for is not None:
-                gateway.spawn(is_sound, gateway, waited_for)
+        _look_at_waits(gateway)
         for known in gateway.beliefs.view.everything():
             record = known.record
             state = gateway.beliefs.loads.state(record.name, record.born_ms)
@@ -73,6 +70,18 @@
                 gateway.spawn(_check_again, gateway, known)
 
 
+def _look_at_waits(gateway: Gateway) -> None:
+    """Counts long waits as failures and checks those who cause them."""
+    now_s = gateway.elapsed_s()
+    loads, waits = gateway.beliefs.loads, gateway.activity.waits
+    for late in waits.count_long(now_s):
+        loads.note_outcome(loads.state(late), is_failure=True)
+    for name in waits.long_at(now_s):
+        waited_for = gateway.beliefs.view.find(name)
+        if waited_for is not None:
+            gateway.spawn(is_sound, gateway, waited_for)
+
+
 async def _verify(gateway: Gateway, known: KnownUpstream) -> None:
     """Checks an upstream on which an answer has just broken."""
     name = known.record.name
--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -156,7 +156,7 @@
     try:
         with (
             trio.move_on_after(bound.total_seconds()) as scope,
-            _abandonable(gateway, task, choice, scope),
+            _noted(gateway, task, choice, scope),
         ):
             outgoing = _outgoing(gateway, task, choice, order)
             await connection.send(outgoing, gateway.spawn)
@@ -180,18 +180,18 @@
     return Dispatched(Evidence.MAY_HAVE_RUN, choice.upstream, reason)
 
 
-def _abandonable(
+def _noted(
     gateway: Gateway,
     task: Task,
     choice: Choice,
     scope: trio.CancelScope,
 ) -> AbstractContextManager[None]:
-    """Lets the end of an upstream end the wait of what may be repeated."""
-    if choice.place.via is not None or not task.route.is_idempotent:
+    """Notes a wait; the end of its upstream ends one that may be repeated."""
+    if choice.place.via is not None:
         return nullcontext()
     return gateway.activity.waits.waiting(
         choice.upstream,
-        scope,
+        scope if task.route.is_idempotent else None,
         gateway.elapsed_s(),
         choice.expected_s,
     )
