Keep the sum of what others told of an upstream

Cause: a choice among 45 engines took 3.0 ms with nine peers near and two regions told (profile: half in summing what peers told, five times an engine). Change: the sum is kept until one of them tells anew or becomes too old; what a prompt shares is computed once. Calls in the profile of 50 choices: 546 thousand before, 371 thousand after; times were not comparable beside other work.

--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable
+from math import inf
 from typing import Final, final
 
 import attrs
@@ -62,6 +63,11 @@
     load: SharedLoad
     at_s: float
 
+    @property
+    def fresh_until_s(self) -> float:
+        """When it becomes too old to be used."""
+        return self.at_s + _PEER_AGE_S
+
 
 @attrs.define
 class Occupation:
@@ -82,7 +88,8 @@
     `direct` is what this instance has there itself, `relayed` what it has
     sent through peers, who count it as theirs.  `peers` is what others of this
     region have there, `region` the sum that another region told of itself.
-    `pace` is the ratio of seen to expected times.
+    `told` is the sum of both while none of them is too old.  `pace` is the
+    ratio of seen to expected times.
     """
 
     born_ms: int
@@ -97,6 +104,8 @@
     cold_sent_at_s: float = -1
     peers: dict[str, _PeerLoad] = attrs.field(factory=dict)
     region: _PeerLoad | None = None
+    told: SharedLoad | None = None
+    told_until_s: float = 0
 
 
 @final
@@ -130,9 +139,7 @@
 
     def in_flight(self, state: UpstreamState) -> int:
         """Returns the requests that are believed to be at an upstream."""
-        counted = state.direct.in_flight + sum(
-            load.in_flight for load in self._told(state)
-        )
+        counted = state.direct.in_flight + self._told(state).in_flight
         counted = max(counted, state.relayed.in_flight)
         if state.reported is None:
             return counted
@@ -148,17 +155,14 @@
         More urgent prompts are read first; of less urgent ones the part that
         is being read already.  What was relayed is counted by peers as well.
         """
-        counted = state.direct.unread(priority) + sum(
-            _unread(load.pending_tokens, priority) for load in self._told(state)
-        )
+        told = _unread(self._told(state).pending_tokens, priority)
+        counted = state.direct.unread(priority) + told
         return max(counted, state.relayed.unread(priority))
 
     def outcomes(self, state: UpstreamState) -> Outcomes:
         """Returns recent outcomes at an upstream, those of others included."""
         seen = state.health.outcomes(self._now_s())
-        for load in self._told(state):
-            seen = seen.plus(load.outcomes)
-        return seen
+        return seen.plus(self._told(state).outcomes)
 
     def note_report(self, state: UpstreamState, load: ReportedLoad) -> None:
         """Takes over the load that an upstream told with an answer."""
@@ -188,7 +192,7 @@
         Only instances of its region reach an upstream, so these are all.
         """
         sums = [
-            _sum(self._own_load(name, state), self._near_peers(state))
+            _sum(name, [self._own_load(name, state), *self._near(state)])
             for name, state in self._states.items()
         ]
         return tuple(load for load in sums if _is_worth_telling(load))
@@ -198,21 +202,25 @@
         for state in self._states.values():
             if state.region is not None and state.region.source == region:
                 state.region = None
+                state.told = None
         now_s = self._now_s()
         for load in loads:
             told_of = self._states.get(load.upstream)
             if told_of is not None:
                 told_of.region = _PeerLoad(region, load, now_s)
+                told_of.told = None
 
     def take_shared(self, peer: str, loads: tuple[SharedLoad, ...]) -> None:
         """Replaces what a peer of this region has told before."""
         for state in self._states.values():
-            state.peers.pop(peer, None)
+            if state.peers.pop(peer, None) is not None:
+                state.told = None
         now_s = self._now_s()
         for load in loads:
             told_of = self._states.get(load.upstream)
             if told_of is not None:
                 told_of.peers[peer] = _PeerLoad(peer, load, now_s)
+                told_of.told = None
 
     def _own_load(self, name: str, state: UpstreamState) -> SharedLoad:
         return SharedLoad(
@@ -222,17 +230,27 @@
             state.health.outcomes(self._now_s()),
         )
 
-    def _told(self, state: UpstreamState) -> list[SharedLoad]:
-        """Returns what others have told and is not too old."""
-        region = [state.region] if state.region else []
-        return self._fresh((*state.peers.values(), *region))
-
-    def _near_peers(self, state: UpstreamState) -> list[SharedLoad]:
-        return self._fresh(state.peers.values())
+    def _told(self, state: UpstreamState) -> SharedLoad:
+        """Returns the sum of what others told and is not too old."""
+        now_s = self._now_s()
+        if state.told is None or now_s >= state.told_until_s:
+            region = [state.region] if state.region else []
+            told = [*state.peers.values(), *region]
+            fresh = [one for one in told if one.fresh_until_s > now_s]
+            state.told = _sum('', [one.load for one in fresh])
+            state.told_until_s = min(
+                (one.fresh_until_s for one in fresh),
+                default=inf,
+            )
+        return state.told
 
-    def _fresh(self, told: Iterable[_PeerLoad]) -> list[SharedLoad]:
-        oldest_s = self._now_s() - _PEER_AGE_S
-        return [peer.load for peer in told if peer.at_s > oldest_s]
+    def _near(self, state: UpstreamState) -> list[SharedLoad]:
+        now_s = self._now_s()
+        return [
+            peer.load
+            for peer in state.peers.values()
+            if peer.fresh_until_s > now_s
+        ]
 
     def _now_s(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -243,17 +261,17 @@
     return bool(load.in_flight) or is_failing
 
 
-def _sum(own: SharedLoad, others: Iterable[SharedLoad]) -> SharedLoad:
+def _sum(upstream: str, loads: Iterable[SharedLoad]) -> SharedLoad:
     """Returns the sum of counts at one upstream."""
-    in_flight = own.in_flight
-    pending = Counter(dict(own.pending_tokens))
-    outcomes = own.outcomes
-    for other in others:
-        in_flight += other.in_flight
-        pending.update(dict(other.pending_tokens))
-        outcomes = outcomes.plus(other.outcomes)
+    in_flight = 0
+    pending: Counter[int] = Counter()
+    outcomes = Outcomes()
+    for load in loads:
+        in_flight += load.in_flight
+        pending.update(dict(load.pending_tokens))
+        outcomes = outcomes.plus(load.outcomes)
     tokens = tuple(sorted(pending.items()))
-    return SharedLoad(own.upstream, in_flight, tokens, outcomes)
+    return SharedLoad(upstream, in_flight, tokens, outcomes)
 
 
 def _unread(pending: Iterable[tuple[int, int]], priority: int) -> float:
--- a/src/masticstage/forwarding/requests.py
+++ b/src/masticstage/forwarding/requests.py
@@ -2,6 +2,7 @@
 
 import enum
 from datetime import timedelta
+from functools import cached_property
 from typing import final
 
 import attrs
@@ -28,7 +29,8 @@
     tokens: int
 
 
-@attrs.frozen
+@final
+@attrs.frozen(slots=False)
 class Prompt:
     """What a model has to read and to generate.
 
@@ -39,12 +41,12 @@
     tokens_in: int
     tokens_out: int
 
-    @property
+    @cached_property
     def shared(self) -> tuple[PromptPart, ...]:
         """Parts that other requests may have in common."""
         return self.parts[:-1]
 
-    @property
+    @cached_property
     def own_tokens(self) -> int:
         """Prompt tokens that no other request has in common."""
         return self.tokens_in - sum(part.tokens for part in self.shared)
