--- a/src/masticstage/edges/checks.py
+++ b/src/masticstage/edges/checks.py
@@ -60,19 +60,28 @@
     """Checks upstreams in doubt again, for the life of the process."""
     while True:
         await trio.sleep(_LOOK_S)
-        for name in gateway.activity.waits.long_at(gateway.elapsed_s()):
-            waited_for = gateway.beliefs.view.find(name)
-            if waited_for is not None:
-                gateway.spawn(is_sound, gateway, waited_for)
+        _look_at_waits(gateway)
         for known in gateway.beliefs.view.everything():
             record = known.record
             state = gateway.beliefs.loads.state(record.name, record.born_ms)
-            is_due = gateway.beliefs.loads.is_check_due(state)
+            is_due = state.health.is_check_due(gateway.elapsed_s())
             if is_due and record.region == gateway.region:
-                state.check_at_s += _CHECK_S
+                state.health.check_at_s += _CHECK_S
                 gateway.spawn(_check_again, gateway, known)
 
 
+def _look_at_waits(gateway: Gateway) -> None:
+    """Counts long waits as failures and checks those who cause them."""
+    now_s = gateway.elapsed_s()
+    loads, waits = gateway.beliefs.loads, gateway.activity.waits
+    for late in waits.count_long(now_s):
+        loads.note_outcome(loads.state(late), is_failure=True)
+    for name in waits.long_at(now_s):
+        waited_for = gateway.beliefs.view.find(name)
+        if waited_for is not None:
+            gateway.spawn(is_sound, gateway, waited_for)
+
+
 async def _verify(gateway: Gateway, known: KnownUpstream) -> None:
     """Checks an upstream on which an answer has just broken."""
     name = known.record.name
@@ -99,12 +108,11 @@
 
 async def _check_again(gateway: Gateway, known: KnownUpstream) -> None:
     record = known.record
-    loads = gateway.beliefs.loads
-    state = loads.state(record.name, record.born_ms)
+    state = gateway.beliefs.loads.state(record.name, record.born_ms)
     failure = await _check(gateway, known)
     if failure is not None:
-        loads.doubt(state)
-    elif loads.clear_doubt(state):
+        state.health.doubt(gateway.elapsed_s())
+    elif state.health.clear_doubt():
         gateway.log.record('upstream_regained', upstream=record.name)
 
 
@@ -153,7 +161,7 @@
     state = gateway.beliefs.loads.state(record.name, record.born_ms)
     gateway.links.upstreams.drop(record.address)
     abandoned = gateway.activity.waits.abandon(record.name)
-    if gateway.beliefs.loads.doubt(state):
+    if state.health.doubt(gateway.elapsed_s()):
         gateway.log.record(
             'upstream_lost',
             upstream=record.name,
--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -5,6 +5,7 @@
 
 from masticstage import peer_pb2 as pb
 from masticstage.clock import milliseconds
+from masticstage.forwarding.health import Outcomes
 from masticstage.forwarding.image import News, RecordEvent
 from masticstage.forwarding.loads import SharedLoad
 from masticstage.forwarding.requests import CallerRequest, CallKind
@@ -18,13 +19,16 @@
         upstream=load.upstream,
         in_flight=load.in_flight,
         pending_tokens=dict(load.pending_tokens),
+        failed=load.outcomes.failed,
+        outcomes=load.outcomes.total,
     )
 
 
 def decode_load(record: pb.SharedLoad) -> SharedLoad:
     """Returns a peer's counts at an upstream."""
     pending = tuple(sorted(record.pending_tokens.items()))
-    return SharedLoad(record.upstream, record.in_flight, pending)
+    outcomes = Outcomes(record.failed, record.outcomes)
+    return SharedLoad(record.upstream, record.in_flight, pending, outcomes)
 
 
 def encode_news(news: News, *, is_in_trouble: bool) -> bytes:
@@ -85,6 +89,7 @@
         homes=sorted(route.homes),
         last_event_id=order.last_event_id or request.last_event_id,
         fetch_from=order.fetch_from,
+        target_ms=route.target // timedelta(milliseconds=1),
     )
 
 
@@ -97,7 +102,7 @@
         '/',
         CallKind(message.kind),
         remaining,
-        remaining,
+        milliseconds(message.target_ms),
         (Share(message.service, 1),),
         message.priority,
         homes=frozenset(message.homes),
