Import only what a program runs

Change: composition is a package with a module for each program, member records have their own message module, and the package's names for callers are loaded on first use.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,17 +21,16 @@
 from masticstage.clock import ManualClock, SystemClock, to_milliseconds
 from masticstage.configuration import check_configuration
 from masticstage.configuration_schema import Upstream, Weights
-from masticstage.membership import Member, MemberTable
+from masticstage.member_messages import decode_member, encode_member
+from masticstage.membership import Member, MemberId, MemberTable
 from masticstage.outcomes import Answer, CallOutcome, Outcome
 from masticstage.peer_messages import (
-    decode_member,
     decode_report,
-    encode_member,
     encode_report,
 )
 from masticstage.routing import Demand, Router
 from masticstage.tickets import WitnessBook
-from masticstage.tokens import MemberId, Ticket, TokenSigner
+from masticstage.tokens import Ticket, TokenSigner
 from masticstage.upstream_table import LoadReport, UpstreamTable
 
 _REPEATS: Final = 5
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -11,8 +11,7 @@
 import attrs
 
 from masticstage.clock import ManualClock
-from masticstage.membership import Member, MemberTable
-from masticstage.tokens import MemberId
+from masticstage.membership import Member, MemberId, MemberTable
 
 _GONE_AFTER: Final = timedelta(minutes=1)
 _MAX_CHANGES: Final = 16
--- a/src/masticstage/__init__.py
+++ b/src/masticstage/__init__.py
@@ -1,17 +1,23 @@
 """Multi-region gateway for model services and applications.
 
 The names below are the library for callers; the rest of the package is the
-gateway itself.
+gateway itself.  They are loaded when they are first used: the programs need
+few of them, and an instance that starts fast is soon back.
 """
 
-from masticstage.caller import (
-    AnswerIncompleteError,
-    Caller,
-    CallRefusedError,
-    ModelAnswer,
-)
-from masticstage.exceptions import MasticstageError
-from masticstage.outcomes import Answer, CallOutcome, Outcome
+from importlib import import_module
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from masticstage.caller import (
+        AnswerIncompleteError,
+        Caller,
+        CallRefusedError,
+        ModelAnswer,
+    )
+    from masticstage.exceptions import MasticstageError
+    from masticstage.outcomes import Answer, CallOutcome, Outcome
 
 __all__ = (
     'Answer',
@@ -23,3 +29,24 @@
     'ModelAnswer',
     'Outcome',
 )
+
+_MODULES: Final = MappingProxyType(
+    {
+        'Answer': 'outcomes',
+        'AnswerIncompleteError': 'caller',
+        'CallOutcome': 'outcomes',
+        'CallRefusedError': 'caller',
+        'Caller': 'caller',
+        'MasticstageError': 'exceptions',
+        'ModelAnswer': 'caller',
+        'Outcome': 'outcomes',
+    }
+)
+
+
+def __getattr__(name: str) -> Any:  # noqa: WPS413 (loads names on first use)
+    """Returns a public name, loaded from its module."""
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    return getattr(import_module(f'{__name__}.{module}'), name)
--- a/src/masticstage/calls.py
+++ b/src/masticstage/calls.py
@@ -19,6 +19,7 @@
     UpstreamRefusedError,
 )
 from masticstage.instance import Instance
+from masticstage.membership import MemberId
 from masticstage.outcomes import Answer, CallOutcome, Outcome
 from masticstage.owners import ask_witness, run_as_owner
 from masticstage.placement import (
@@ -31,7 +32,7 @@
 from masticstage.requests import JSON_TYPE, Reply, Request
 from masticstage.residency import allowed_data_centres, may_transfer
 from masticstage.results import unwrap_or_raise
-from masticstage.tokens import MemberId, Ticket
+from masticstage.tokens import Ticket
 
 #: Attempts of a call, the first one included.
 _MAX_ATTEMPTS: Final = 3
--- a/src/masticstage/check_program.py
+++ b/src/masticstage/check_program.py
@@ -1,25 +1,17 @@
 """The program masticstage-check: finds all faults of a file at once."""
 
-import json
 import sys
 from pathlib import Path
 
-import attrs
 import fire
 from returns.result import Failure, Result, Success
 
 from masticstage.configuration import check_configuration
-from masticstage.documents import Faults, read_toml
+from masticstage.documents import Faults, print_faults, read_toml
 from masticstage.exits import Exit
 from masticstage.settings import load_settings
 
 
-def print_faults(faults: Faults) -> None:
-    """Prints faults to standard error, one JSON object a line."""
-    for fault in faults:
-        sys.stderr.write(f'{json.dumps(attrs.asdict(fault))}\n')
-
-
 def check_settings(path: str) -> None:
     """Checks the settings file of one instance.
 
--- /dev/null
+++ b/src/masticstage/composition/instances.py
@@ -0,0 +1,113 @@
+"""Wires an instance with the product's own interface."""
+
+from datetime import timedelta
+from random import Random
+
+import trio
+
+from masticstage.admission import Admission
+from masticstage.audit import Audit
+from masticstage.clock import (
+    Clock,
+    PauseDetector,
+    milliseconds,
+    to_milliseconds,
+)
+from masticstage.drain import Drain
+from masticstage.instance import Books, Connections, Instance, Views
+from masticstage.membership import Member, MemberId, MemberTable
+from masticstage.metrics import Metrics
+from masticstage.peer_client import PeerClient
+from masticstage.peer_tls import channel_credentials
+from masticstage.platform_client import PlatformClient
+from masticstage.quarantine import Quarantine, SuspectRuns
+from masticstage.retries import RetryBudget
+from masticstage.rollout import Rollout
+from masticstage.routing import Router
+from masticstage.settings_schema import Settings
+from masticstage.summaries import SummaryTable
+from masticstage.tickets import OwnerBook, WitnessBook
+from masticstage.tokens import TokenSigner
+from masticstage.upstream_client import UpstreamClient
+from masticstage.upstream_table import UpstreamTable
+
+_PAUSE_THRESHOLD = timedelta(seconds=2)
+
+
+def build_instance(
+    settings: Settings,
+    clock: Clock,
+    nursery: trio.Nursery,
+) -> Instance:
+    """Wires the parts of one instance."""
+    own = settings.instance
+    identity = MemberId(own.name, to_milliseconds(clock.now()))
+    random = Random()  # noqa: S311 (spreads load; not for secrets)
+    silence = milliseconds(settings.timing.stream_silence_ms)
+    peer_timeout = milliseconds(settings.timing.peer_timeout_ms)
+    return Instance(
+        settings,
+        identity,
+        clock,
+        random,
+        TokenSigner(settings.tokens.secrets),
+        Connections(
+            PeerClient(
+                peer_timeout,
+                nursery,
+                _translations(settings),
+                channel_credentials(settings.peer_tls),
+            ),
+            UpstreamClient(silence),
+            PlatformClient(settings.platform.address),
+        ),
+        _build_books(settings, identity, clock),
+        _build_views(settings, identity, clock, random),
+        Drain(),
+        PauseDetector(clock, _PAUSE_THRESHOLD),
+        Audit(clock),
+        Metrics(),
+        nursery,
+    )
+
+
+def _translations(settings: Settings) -> dict[str, str]:
+    return {known.address: known.via for known in settings.translations}
+
+
+def _build_books(settings: Settings, identity: MemberId, clock: Clock) -> Books:
+    limits = settings.limits
+    return Books(
+        OwnerBook(clock, limits.held_outcomes),
+        WitnessBook(clock, identity, limits.held_outcomes),
+        Admission(limits.open_streams),
+        Admission(limits.open_calls),
+        Quarantine(clock),
+        SuspectRuns(),
+        RetryBudget(),
+    )
+
+
+def _build_views(
+    settings: Settings,
+    identity: MemberId,
+    clock: Clock,
+    random: Random,
+) -> Views:
+    own = settings.instance
+    member = Member(
+        identity,
+        own.data_centre,
+        own.region,
+        own.peer_address,
+        own.caller_address,
+    )
+    gone_after = milliseconds(settings.timing.gone_ms)
+    upstreams = UpstreamTable(clock)
+    return Views(
+        Rollout(clock),
+        MemberTable(clock, member, gone_after),
+        upstreams,
+        Router(upstreams, random),
+        SummaryTable(clock),
+    )
--- a/src/masticstage/documents.py
+++ b/src/masticstage/documents.py
@@ -5,12 +5,14 @@
 """
 
 import json
+import sys
 import tomllib
 from functools import cache
 from importlib import resources
 from pathlib import Path
 from typing import Any, TypeVar
 
+import attrs
 import cattrs
 from jsonschema import Draft202012Validator, ValidationError
 from returns.result import Failure, Result, Success
@@ -22,6 +24,12 @@
 _Typed = TypeVar('_Typed')
 
 
+def print_faults(faults: Faults) -> None:
+    """Prints faults to standard error, one JSON object a line."""
+    for fault in faults:
+        sys.stderr.write(f'{json.dumps(attrs.asdict(fault))}\n')
+
+
 def read_toml(path: Path) -> Result[Document, Faults]:
     """Reads a TOML file; fails when it is absent or not TOML."""
     source = str(path)
--- a/src/masticstage/edges/exchanges.py
+++ b/src/masticstage/edges/exchanges.py
@@ -22,8 +22,8 @@
 )
 from masticstage.edges.records import take_news
 from masticstage.exceptions import BrokenConnectionError, ConnectError
+from masticstage.member_messages import decode_member, encode_member
 from masticstage.membership import Liveness, Member
-from masticstage.peer_messages import decode_member, encode_member
 
 #: Period of exchanges. Loads are useful for about as long as a short answer.
 _PERIOD_S: Final = 0.25
--- a/src/masticstage/entry_program.py
+++ b/src/masticstage/entry_program.py
@@ -9,9 +9,9 @@
 import trio
 from returns.result import Failure, Success
 
-from masticstage.check_program import print_faults
 from masticstage.clock import SystemClock
-from masticstage.composition import build_gateway
+from masticstage.composition.gateways import build_gateway
+from masticstage.documents import print_faults
 from masticstage.edges.decision_log import unblock_output
 from masticstage.edges.life import run_gateway
 from masticstage.edges.reload import SettingsFile, load_entry_settings
--- a/src/masticstage/gossip.py
+++ b/src/masticstage/gossip.py
@@ -18,12 +18,11 @@
 from masticstage.configuration_schema import Upstream
 from masticstage.exceptions import PeerUnreachableError
 from masticstage.instance import Instance
+from masticstage.member_messages import decode_member, encode_member
 from masticstage.membership import Liveness, Member
 from masticstage.peer_messages import (
-    decode_member,
     decode_report,
     decode_summary,
-    encode_member,
     encode_report,
     encode_summary,
 )
--- a/src/masticstage/instance.py
+++ b/src/masticstage/instance.py
@@ -15,7 +15,7 @@
 from masticstage.configuration import Catalogue
 from masticstage.drain import Drain
 from masticstage.exceptions import DrainingError, NotReadyError
-from masticstage.membership import Member, MemberTable
+from masticstage.membership import Member, MemberId, MemberTable
 from masticstage.metrics import Metrics
 from masticstage.peer_client import PeerClient
 from masticstage.platform_client import PlatformClient
@@ -26,7 +26,7 @@
 from masticstage.settings_schema import Settings
 from masticstage.summaries import SummaryTable
 from masticstage.tickets import OwnerBook, WitnessBook
-from masticstage.tokens import MemberId, TokenSigner
+from masticstage.tokens import TokenSigner
 from masticstage.upstream_client import UpstreamClient
 from masticstage.upstream_table import UpstreamTable
 
--- a/src/masticstage/instance_program.py
+++ b/src/masticstage/instance_program.py
@@ -7,7 +7,7 @@
 import trio
 from returns.result import Failure, Success
 
-from masticstage.check_program import print_faults
+from masticstage.documents import print_faults
 from masticstage.exits import Exit
 from masticstage.lifecycle import run_instance
 from masticstage.logs import configure_logs
--- a/src/masticstage/lifecycle.py
+++ b/src/masticstage/lifecycle.py
@@ -11,7 +11,7 @@
 from masticstage.audit import Event
 from masticstage.caller_api import create_app
 from masticstage.clock import SystemClock, milliseconds
-from masticstage.composition import build_instance
+from masticstage.composition.instances import build_instance
 from masticstage.gossip import exchange_with, run_gossip
 from masticstage.instance import Instance
 from masticstage.peer_server import start_peer_server, stop_peer_server
--- /dev/null
+++ b/src/masticstage/member_messages.py
@@ -0,0 +1,33 @@
+"""Conversions between member records and their messages."""
+
+from masticstage import peer_pb2 as pb
+from masticstage.membership import Liveness, Member, MemberId
+
+
+def encode_member(member: Member) -> pb.MemberRecord:
+    """Returns the message form of a member record."""
+    return pb.MemberRecord(
+        member=pb.Incarnation(
+            name=member.identity.name,
+            number=member.identity.incarnation,
+        ),
+        data_centre=member.data_centre,
+        region=member.region,
+        peer_address=member.peer_address,
+        caller_address=member.caller_address,
+        liveness=pb.Liveness.ValueType(member.liveness.value),
+        heartbeat=member.heartbeat,
+    )
+
+
+def decode_member(record: pb.MemberRecord) -> Member:
+    """Returns the member record of a message."""
+    return Member(
+        MemberId(record.member.name, record.member.number),
+        record.data_centre,
+        record.region,
+        record.peer_address,
+        record.caller_address,
+        Liveness(record.liveness),
+        record.heartbeat,
+    )
--- a/src/masticstage/membership.py
+++ b/src/masticstage/membership.py
@@ -14,7 +14,6 @@
 import attrs
 
 from masticstage.clock import Clock
-from masticstage.tokens import MemberId
 
 #: How often a changed record is passed on, per doubling of the fleet.
 _TRANSMISSIONS_PER_DOUBLING: Final = 3
@@ -35,6 +34,14 @@
 _DOUBTED: Final = frozenset((Liveness.SUSPECT, Liveness.GONE))
 
 
+@attrs.frozen
+class MemberId:
+    """One life of an instance, between a start and the next."""
+
+    name: str
+    incarnation: int
+
+
 @attrs.frozen
 class Member:
     """One record about an instance."""
--- a/src/masticstage/peer_messages.py
+++ b/src/masticstage/peer_messages.py
@@ -4,11 +4,9 @@
 from typing import Final
 
 from masticstage import peer_pb2 as pb
-from masticstage.membership import Liveness, Member
 from masticstage.outcomes import Answer, CallOutcome, Outcome
 from masticstage.summaries import Summary
 from masticstage.tickets import Verdict, WitnessAnswer
-from masticstage.tokens import MemberId
 from masticstage.upstream_table import LoadReport
 
 _KINDS: Final = MappingProxyType(
@@ -34,35 +32,6 @@
 )
 
 
-def encode_member(member: Member) -> pb.MemberRecord:
-    """Returns the message form of a member record."""
-    return pb.MemberRecord(
-        member=pb.Incarnation(
-            name=member.identity.name,
-            number=member.identity.incarnation,
-        ),
-        data_centre=member.data_centre,
-        region=member.region,
-        peer_address=member.peer_address,
-        caller_address=member.caller_address,
-        liveness=pb.Liveness.ValueType(member.liveness.value),
-        heartbeat=member.heartbeat,
-    )
-
-
-def decode_member(record: pb.MemberRecord) -> Member:
-    """Returns the member record of a message."""
-    return Member(
-        MemberId(record.member.name, record.member.number),
-        record.data_centre,
-        record.region,
-        record.peer_address,
-        record.caller_address,
-        Liveness(record.liveness),
-        record.heartbeat,
-    )
-
-
 def encode_report(report: LoadReport) -> pb.UpstreamRecord:
     """Returns the message form of a load report."""
     return pb.UpstreamRecord(
--- a/src/masticstage/platform_client.py
+++ b/src/masticstage/platform_client.py
@@ -10,9 +10,8 @@
 import httpx
 
 from masticstage.exceptions import PlatformUnavailableError
-from masticstage.membership import Liveness, Member
+from masticstage.membership import Liveness, Member, MemberId
 from masticstage.rollout import Offer
-from masticstage.tokens import MemberId
 from masticstage.upstream_table import LoadReport
 
 #: Length of one watch; a silent connection is replaced after it.
--- a/src/masticstage/tickets.py
+++ b/src/masticstage/tickets.py
@@ -16,8 +16,9 @@
 
 from masticstage.clock import Clock, from_milliseconds
 from masticstage.exceptions import CapacityError
+from masticstage.membership import MemberId
 from masticstage.outcomes import NOT_RUN, UNKNOWN, CallOutcome
-from masticstage.tokens import MemberId, Ticket
+from masticstage.tokens import Ticket
 
 #: Largest difference between the clocks of two instances that is allowed for.
 CLOCK_SKEW: Final = timedelta(minutes=1)
--- a/src/masticstage/tokens.py
+++ b/src/masticstage/tokens.py
@@ -13,20 +13,13 @@
 from returns.result import Failure, Result, Success
 
 from masticstage.exceptions import InvalidTokenError
+from masticstage.membership import MemberId
 
 _TICKET_SALT: Final = 'masticstage.ticket.1'
 _SESSION_SALT: Final = 'masticstage.session.1'
 _TokenType = TypeVar('_TokenType')
 
 
-@attrs.frozen
-class MemberId:
-    """One life of an instance, between a start and the next."""
-
-    name: str
-    incarnation: int
-
-
 @attrs.frozen
 class Ticket:
     """Right to run one call once, at one owner.
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,9 +8,9 @@
 
 from masticstage.clock import ManualClock, to_milliseconds
 from masticstage.configuration import Catalogue, check_configuration
-from masticstage.membership import Liveness, Member
+from masticstage.membership import Liveness, Member, MemberId
 from masticstage.requests import Request
-from masticstage.tokens import MemberId, Ticket
+from masticstage.tokens import Ticket
 
 OWNER = MemberId('a-0', 1)
 WITNESS = MemberId('a-1', 1)
--- a/tests/edges/test_gateway.py
+++ b/tests/edges/test_gateway.py
@@ -9,7 +9,7 @@
 
 from bench.ports import wait_for_port
 from masticstage.clock import SystemClock, milliseconds
-from masticstage.composition import build_gateway
+from masticstage.composition.gateways import build_gateway
 from masticstage.edges.connections import Connection, Outgoing, connect
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.life import run_gateway
--- a/tests/edges/test_life.py
+++ b/tests/edges/test_life.py
@@ -5,7 +5,7 @@
 
 from bench.ports import wait_for_port
 from masticstage.clock import SystemClock
-from masticstage.composition import build_gateway
+from masticstage.composition.gateways import build_gateway
 from masticstage.edges.connections import Outgoing, connect
 from masticstage.edges.life import run_gateway
 from standins.replica import Replica
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,7 +8,7 @@
 
 from masticstage import peer_pb2 as pb
 from masticstage.clock import ManualClock
-from masticstage.composition import build_instance
+from masticstage.composition.instances import build_instance
 from masticstage.exceptions import PeerUnreachableError, UpstreamRefusedError
 from masticstage.instance import Connections, Instance
 from masticstage.membership import Liveness, Member
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -24,8 +24,7 @@
     Share,
 )
 from masticstage.forwarding.view import FleetView
-from masticstage.membership import Member, MemberTable
-from masticstage.tokens import MemberId
+from masticstage.membership import Member, MemberId, MemberTable
 
 SECOND = timedelta(seconds=1)
 
