--- a/src/masticstage/edges/events.py
+++ b/src/masticstage/edges/events.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import final
 
 import attrs
 import trio
@@ -19,16 +20,36 @@
 _BROKEN = (BrokenConnectionError, UpstreamFailedError)
 
 
+@final
+@attrs.define
+class StreamTimes:
+    """When events of one answer were passed on (steady clock)."""
+
+    first: timedelta | None = None
+    longest_pause: timedelta = timedelta()
+    _last: timedelta = timedelta()
+
+    def note(self, now: timedelta) -> None:
+        """Notes that events are passed on now."""
+        if self.first is None:
+            self.first = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self._last)
+        self._last = now
+
+
 @attrs.frozen
 class Patience:
     """How long a stream may be silent, and whether that is its end.
 
     `bound` gives the longest silence from now; `goes_on` tells after such a
-    silence whether there is still something to wait for.
+    silence whether there is still something to wait for; `note` is called when
+    events are passed on.
     """
 
     bound: Callable[[], timedelta]
     goes_on: Callable[[], Awaitable[bool]]
+    note: Callable[[], None]
 
 
 async def pass_events(
@@ -57,6 +78,7 @@
     except _BROKEN as error:
         return error.reason
     if events:
+        patience.note()
         await reply.send(events)
     if chunk is None:
         return None if await patience.goes_on() else 'silence'
--- a/src/masticstage/edges/relays.py
+++ b/src/masticstage/edges/relays.py
@@ -193,7 +193,11 @@
         return await is_reachable(gateway, choice)
 
     bound = _SILENCE if route.is_resumable else route.limit
-    return Patience(lambda: bound, goes_on)
+    return Patience(lambda: bound, goes_on, _note_nothing)
+
+
+def _note_nothing() -> None:
+    """Leaves the times of events to the sender, who knows the caller's."""
 
 
 async def _answer_unrun(reply: Reply, ended: Dispatched) -> None:
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -9,7 +9,12 @@
 
 from masticstage.edges.checks import suspect
 from masticstage.edges.dispatch import Dispatched, Task, dispatch, occupying
-from masticstage.edges.events import Patience, is_reachable, pass_events
+from masticstage.edges.events import (
+    Patience,
+    StreamTimes,
+    is_reachable,
+    pass_events,
+)
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.listeners import Reply
 from masticstage.exceptions import InvalidRequestError
@@ -20,6 +25,7 @@
 from masticstage.forwarding.requests import CallerRequest
 from masticstage.forwarding.wire import DispatchOrder, RawRequest
 
+_MS: Final = timedelta(milliseconds=1)
 #: When to come back while the instance knows no configuration yet: a read of
 #: the platform takes less.
 _NOT_READY_RETRY: Final = timedelta(milliseconds=400)
@@ -52,6 +58,7 @@
     deadline: timedelta
     history: AttemptHistory
     framer: EventFramer = attrs.field(factory=EventFramer)
+    times: StreamTimes = attrs.field(factory=StreamTimes)
     last_failure: Dispatched | None = None
     reason: str = 'no upstream'
     retry_after: timedelta = _REFUSED_RETRY
@@ -256,6 +263,8 @@
     reply = service.reply
     if ended.head is None:
         raise AssertionError('an answer has a head')
+    patience = _patience(service, choice)
+    patience.note()
     if reply.is_started:
         await reply.send(ended.body)
     else:
@@ -264,7 +273,7 @@
         ended,
         service.framer,
         reply,
-        _patience(service, choice),
+        patience,
     )
     if not reason:
         await reply.finish()
@@ -299,6 +308,7 @@
             service.remaining,
         ),
         goes_on,
+        lambda: service.times.note(service.gateway.clock.elapsed()),
     )
 
 
@@ -357,5 +367,20 @@
         outcome,
         request.request_id,
         upstream=upstream,
-        took_ms=took // timedelta(milliseconds=1),
+        took_ms=took // _MS,
+        **_stream_times(service),
     )
+
+
+def _stream_times(service: _Service) -> dict[str, int]:
+    """Returns what decides whether a stream was on time, in milliseconds."""
+    times, metrics = service.times, service.gateway.metrics
+    if times.first is None:
+        return {}
+    first = times.first - service.task.request.arrived
+    metrics.record('streaming.first', first)
+    metrics.record('streaming.longest_pause', times.longest_pause)
+    return {
+        'first_ms': first // _MS,
+        'longest_pause_ms': times.longest_pause // _MS,
+    }
--- /dev/null
+++ b/tests/edges/test_events.py
@@ -0,0 +1,22 @@
+"""Tests of the times at which events of a stream are passed on."""
+
+from datetime import timedelta
+
+from masticstage.edges.events import StreamTimes
+from tests.routed import SECOND
+
+
+def test_the_longest_pause_lies_between_two_events():
+    times = StreamTimes()
+    for moment in (10, 10.1, 10.5, 10.6):
+        times.note(moment * SECOND)
+
+    assert times.first == 10 * SECOND
+    assert times.longest_pause == 0.4 * SECOND
+
+
+def test_a_single_event_makes_no_pause():
+    times = StreamTimes()
+    times.note(10 * SECOND)
+
+    assert times.longest_pause == timedelta()
