--- a/src/masticstage/edges/exchanges.py
+++ b/src/masticstage/edges/exchanges.py
@@ -27,8 +27,9 @@
 
 #: Period of exchanges. Loads are useful for about as long as a short answer.
 _PERIOD_S: Final = 0.25
-#: Instances asked each period in the own region.
-_NEAR: Final = 3
+#: Instances asked each period in the own region: each gets as many questions,
+#: and the loads of 45 upstreams take each side 0.8 ms beside the call itself.
+_NEAR: Final = 1
 #: Periods between two questions to an instance elsewhere, where bytes have a
 #: price: each is answered with the sums of a region.
 _FAR_PERIODS: Final = 2
--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -262,16 +262,28 @@
 
 
 def _sum(upstream: str, loads: Iterable[SharedLoad]) -> SharedLoad:
-    """Returns the sum of counts at one upstream."""
+    """Returns the sum of counts at one upstream.
+
+    It is taken for many upstreams a second; plain additions are a quarter of
+    the time of counters and of sums of objects.
+    """
     in_flight = 0
-    pending: Counter[int] = Counter()
-    outcomes = Outcomes()
+    failed: float = 0
+    total: float = 0
+    pending: dict[int, int] = {}
     for load in loads:
         in_flight += load.in_flight
-        pending.update(dict(load.pending_tokens))
-        outcomes = outcomes.plus(load.outcomes)
-    tokens = tuple(sorted(pending.items()))
-    return SharedLoad(upstream, in_flight, tokens, outcomes)
+        failed += load.outcomes.failed
+        total += load.outcomes.total
+        for rank, tokens in load.pending_tokens:
+            pending[rank] = pending.get(rank, 0) + tokens
+    tokens_by_rank = tuple(sorted(pending.items()))
+    return SharedLoad(
+        upstream,
+        in_flight,
+        tokens_by_rank,
+        Outcomes(failed, total),
+    )
 
 
 def _unread(pending: Iterable[tuple[int, int]], priority: int) -> float:
