--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -68,8 +68,8 @@
 #: Upstreams that are compared in this region and elsewhere, beside the one that
 #: holds the prompt. A choice among all of 45 took 3 ms, and instances that know
 #: the same would all choose the same.
-_NEAR_COMPARED: Final = 8
-_FAR_COMPARED: Final = 6
+_NEAR_COMPARED: Final = 6
+_FAR_COMPARED: Final = 4
 #: Cost of a failure that ends a request, and of one that is repeated.
 _FAILURE_COST: Final = 1.0
 _REPEAT_COST: Final = 0.35
@@ -181,11 +181,12 @@
         clearly better by what is known here.
         """
         service = route.service_for(request.request_id)
-        choices = [
-            choice
-            for choice in self._compare(request, route, service, tried)
-            if choice.place.via is None
+        far = [
+            known.record.name
+            for known in self._view.upstreams_of(service)
+            if known.record.region != self._members.own.region
         ]
+        choices = self._compare(request, route, service, {*tried, *far})
         best = min(choices, key=_cost, default=None)
         for one in choices:
             is_good = best is None or one.cost <= best.cost + _PREFERENCE
