Read long prompts at some engines, answer short ones at the others

Change: in each region 65 in 100 engines are readers, by hash, the same for all instances; histories have their homes among them; a long prompt elsewhere and a short one at a reader cost 0.06. Where engines are kept and what they are used for moved to homes.py, places to places.py.

--- a/src/masticstage/edges/checks.py
+++ b/src/masticstage/edges/checks.py
@@ -19,8 +19,8 @@
     MasticstageError,
     UpstreamFailedError,
 )
-from masticstage.forwarding.choice import Choice
 from masticstage.forwarding.evidence import Evidence
+from masticstage.forwarding.places import Choice
 from masticstage.forwarding.view import KnownUpstream
 
 #: Pause between two looks for upstreams whose check is due.
--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -25,9 +25,9 @@
     ConnectError,
     UpstreamFailedError,
 )
-from masticstage.forwarding.choice import Choice
 from masticstage.forwarding.events import EventFramer
 from masticstage.forwarding.evidence import Evidence, judge
+from masticstage.forwarding.places import Choice
 from masticstage.forwarding.requests import CallerRequest, CallKind, Headers
 from masticstage.forwarding.routes import Route
 from masticstage.forwarding.wire import AnswerFacts, DispatchOrder
--- a/src/masticstage/edges/events.py
+++ b/src/masticstage/edges/events.py
@@ -13,8 +13,8 @@
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.listeners import Reply
 from masticstage.exceptions import BrokenConnectionError, UpstreamFailedError
-from masticstage.forwarding.choice import Choice
 from masticstage.forwarding.events import EventFramer
+from masticstage.forwarding.places import Choice
 from masticstage.membership import Liveness
 
 _BROKEN = (BrokenConnectionError, UpstreamFailedError)
--- a/src/masticstage/edges/relays.py
+++ b/src/masticstage/edges/relays.py
@@ -29,9 +29,9 @@
     encode_news,
 )
 from masticstage.exceptions import InvalidRequestError
-from masticstage.forwarding.choice import Choice
 from masticstage.forwarding.events import EventFramer
 from masticstage.forwarding.evidence import Evidence
+from masticstage.forwarding.places import Choice
 from masticstage.forwarding.requests import Headers
 from masticstage.forwarding.routes import Route
 from masticstage.forwarding.wire import DispatchOrder, RawRequest
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -18,10 +18,10 @@
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.listeners import Reply
 from masticstage.exceptions import InvalidRequestError
-from masticstage.forwarding.choice import Choice
 from masticstage.forwarding.events import EventFramer
 from masticstage.forwarding.evidence import AttemptHistory, Evidence
 from masticstage.forwarding.patience import first_answer_bound, silence_bound
+from masticstage.forwarding.places import Choice
 from masticstage.forwarding.requests import CallerRequest
 from masticstage.forwarding.wire import DispatchOrder, RawRequest
 
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -14,14 +14,19 @@
 from typing import Final, final
 
 import attrs
-import xxhash
 
 from masticstage.clock import Clock
-from masticstage.forwarding.loads import (
-    LoadTable,
-    Occupation,
-    UpstreamState,
+from masticstage.forwarding.homes import (
+    Roles,
+    can_copy,
+    holds,
+    is_long,
+    plan_fetch,
+    roles_of,
+    source_of,
 )
+from masticstage.forwarding.loads import LoadTable, UpstreamState
+from masticstage.forwarding.places import Choice, Place
 from masticstage.forwarding.published import UpstreamRecord
 from masticstage.forwarding.requests import CallerRequest, Prompt
 from masticstage.forwarding.routes import Route, ServicePlan
@@ -54,8 +59,6 @@
 _COPY_COST: Final = 0.05
 #: Part of the cost of reading when they are only believed to be at their home.
 _UNSURE: Final = 0.35
-#: Least tokens worth a copy; setting one up takes as long as reading some.
-_LEAST_COPY: Final = 500
 #: Unread tokens at an engine from which it counts as busy: 0.2 s of reading.
 _BUSY_TOKENS: Final = 12_000
 #: Rank that counts all unread tokens, whatever their priority.
@@ -70,6 +73,9 @@
 #: the same would all choose the same.
 _NEAR_COMPARED: Final = 6
 _FAR_COMPARED: Final = 4
+#: Cost of a long prompt where short ones are answered, and of a short one where
+#: long ones are read: what they delay, or are delayed.
+_MIXING_COST: Final = 0.06
 #: Cost of a failure that ends a request, and of one that is repeated.
 _FAILURE_COST: Final = 1.0
 _REPEAT_COST: Final = 0.35
@@ -89,59 +95,18 @@
 _MAX_EXPONENT: Final = 50.0
 
 
-@attrs.frozen
-class Place:
-    """An upstream, and the peer that reaches it (None from here)."""
-
-    known: KnownUpstream
-    plan: ServicePlan
-    state: UpstreamState
-    via: Member | None
-
-    @property
-    def slots(self) -> int:
-        """Requests that the upstream runs at once."""
-        engine = self.plan.engine
-        return max(1, engine.slots if engine else self.known.record.slots)
-
-    @property
-    def occupation(self) -> Occupation:
-        """Where requests to this place are counted."""
-        return self.state.direct if self.via is None else self.state.relayed
-
-
-@attrs.frozen
-class Choice:
-    """A place with the predicted time to its first event or answer.
-
-    `cost` is the share of the request's worth that is expected to be lost,
-    `ahead` the number of requests that wait before this one, `fetch_from` the
-    address of an upstream that holds the shared parts of its prompt.
-    """
-
-    place: Place
-    expected_s: float
-    cost: float
-    uncached_tokens: int
-    ahead: int = 0
-    fetch_from: str = ''
-
-    @property
-    def upstream(self) -> str:
-        """Name of the chosen upstream."""
-        return self.place.known.record.name
-
-
 @attrs.frozen
 class _Common:
     """What all places of one choice are compared with.
 
     `source` holds the shared parts of the prompt, `usual_failures` is the
-    share of failures that is usual at the service.
+    share of failures that is usual at the service, `roles` tell which upstreams
+    read long prompts.
     """
 
     source: Place | None
     usual_failures: float
+    roles: Roles
 
 
 @final
@@ -237,10 +202,11 @@
     ) -> list[Choice]:
         """Predicts for the holder of the prompt and a sample of the others."""
         places = list(self._places(route, service))
-        source = _source_of(request.prompt, places)
+        roles = roles_of(places)
+        source = _find_source(request.prompt, places, roles)
         untried = [one for one in places if one.known.record.name not in tried]
         sampled = self._sample(untried, source)
-        common = _Common(source, self._usual_failures(sampled))
+        common = _Common(source, self._usual_failures(sampled), roles)
         return [
             self._predict(place, request, route, common) for place in sampled
         ]
@@ -338,13 +304,15 @@
         cost: float = 0
         if source is not None and source is not place:
             missing = max(0, uncached - prompt.own_tokens)
-            fetch_from, uncached = _plan_fetch(place, source, prompt, uncached)
+            fetch_from, uncached = plan_fetch(place, source, prompt, uncached)
             cost = self._missing_cost(place, source, prompt, missing)
         expected_s = self._expected_s(place, uncached, route.priority)
         target_s = route.target.total_seconds() or _DEFAULT_TARGET_S
         cost += _lateness(expected_s / target_s)
         cost += self._failure_cost(place, route, common.usual_failures)
         cost += self._crossing_cost(place)
+        if not common.roles.suits(prompt, place):
+            cost += _MIXING_COST
         return Choice(
             place,
             expected_s,
@@ -367,12 +335,12 @@
         does not, or where engines do not copy.
         """
         part = missing / max(1, prompt.tokens_in)
-        if _can_copy(place, source) and _holds(source, prompt):
+        if can_copy(place, source) and holds(source, prompt):
             return _COPY_COST * part
         pending = self._loads.unread_tokens(place.state, _ALL_RANKS)
         busy = min(1, pending / _BUSY_TOKENS)
         cost = part * (_READ_COST + busy * _BUSY_READ_COST)
-        if _can_copy(place, source):
+        if can_copy(place, source):
             return _UNSURE * cost + _COPY_COST * part
         return cost
 
@@ -449,53 +417,16 @@
     return _LATE_COST / (1 + exp(exponent)) + _TIME_COST * share
 
 
-def _home_of(prompt: Prompt, places: Sequence[Place]) -> Place | None:
-    """Returns where the shared parts of a prompt are kept.
-
-    All instances agree on it without a word, as far as they agree on the
-    usable upstreams; so nobody reads there what another has had read.
-    """
-    if not prompt.shared or not places:
-        return None
-    subject = prompt.shared[-1].part_id
-    return max(places, key=lambda place: _weight(subject, place))
-
-
-def _source_of(prompt: Prompt, places: Sequence[Place]) -> Place | None:
-    """Returns the place that holds the shared parts of a prompt.
-
-    The one that is known to, its home first; else its home, where they are
-    read when anybody has asked for them.
-    """
-    home = _home_of(prompt, places)
-    if home is None or _holds(home, prompt):
-        return home
-    return next((place for place in places if _holds(place, prompt)), home)
-
-
-def _holds(place: Place, prompt: Prompt) -> bool:
-    return place.state.cache.uncached(prompt) <= prompt.own_tokens
-
-
-def _can_copy(place: Place, source: Place) -> bool:
-    engine = place.plan.engine
-    return engine is not None and engine.link_mbps > 0 and source is not place
-
-
-def _plan_fetch(
-    place: Place,
-    source: Place,
+def _find_source(
     prompt: Prompt,
-    uncached: int,
-) -> tuple[str, int]:
-    """Returns where to copy shared parts from, and what is left to read."""
-    missing = uncached - prompt.own_tokens
-    if missing < _LEAST_COPY or not _can_copy(place, source):
-        return '', uncached
-    address = source.known.record.address
-    return address, prompt.own_tokens if _holds(source, prompt) else uncached
-
-
-def _weight(subject: str, place: Place) -> int:
-    pair = f'{subject}\0{place.known.record.name}'
-    return xxhash.xxh3_64_intdigest(pair.encode())
+    places: Sequence[Place],
+    roles: Roles,
+) -> Place | None:
+    """Returns where a prompt's shared parts are; long ones are at readers."""
+    if not is_long(prompt):
+        return source_of(prompt, places)
+    homes = [place for place in places if roles.suits(prompt, place)]
+    home = source_of(prompt, homes)
+    if home is None or holds(home, prompt):
+        return home
+    return next((place for place in places if holds(place, prompt)), home)
--- /dev/null
+++ b/src/masticstage/forwarding/places.py
@@ -0,0 +1,51 @@
+"""Where a request may go, and what is predicted for it there."""
+
+import attrs
+
+from masticstage.forwarding.loads import Occupation, UpstreamState
+from masticstage.forwarding.routes import ServicePlan
+from masticstage.forwarding.view import KnownUpstream
+from masticstage.membership import Member
+
+
+@attrs.frozen
+class Place:
+    """An upstream, and the peer that reaches it (None from here)."""
+
+    known: KnownUpstream
+    plan: ServicePlan
+    state: UpstreamState
+    via: Member | None
+
+    @property
+    def slots(self) -> int:
+        """Requests that the upstream runs at once."""
+        engine = self.plan.engine
+        return max(1, engine.slots if engine else self.known.record.slots)
+
+    @property
+    def occupation(self) -> Occupation:
+        """Where requests to this place are counted."""
+        return self.state.direct if self.via is None else self.state.relayed
+
+
+@attrs.frozen
+class Choice:
+    """A place with the predicted time to its first event or answer.
+
+    `cost` is the share of the request's worth that is expected to be lost,
+    `ahead` the number of requests that wait before this one, `fetch_from` the
+    address of an upstream that holds the shared parts of its prompt.
+    """
+
+    place: Place
+    expected_s: float
+    cost: float
+    uncached_tokens: int
+    ahead: int = 0
+    fetch_from: str = ''
+
+    @property
+    def upstream(self) -> str:
+        """Name of the chosen upstream."""
+        return self.place.known.record.name
