--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -13,8 +13,9 @@
 #: which is 5 s after the connections went silent.
 _WATCH_S: Final = 6.0
 #: Pause after a watch that brought changes: those of a start or a release come
-#: together, and each call has its price. The least bound on a change is 3 s.
-_GATHER_S: Final = 0.4
+#: together, and each call has its price. The least bound on a change is 3 s;
+#: what one instance knows the others learn within half a second.
+_GATHER_S: Final = 1.0
 #: Pause after a failed call; the platform's rate is shared by all instances.
 _RETRY_S: Final = 0.4
 #: Time for the refresh of the view after a standstill.
--- a/src/masticstage/forwarding/homes.py
+++ b/src/masticstage/forwarding/homes.py
@@ -26,6 +26,9 @@
 #: Part of the engines of a region that read long prompts.  At the highest load
 #: reading takes two thirds of the time of all engines.
 _READING_PART: Final = 0.65
+#: Engines of a region from which they are divided. Fewer are needed by both
+#: kinds at the peak: divided two to one, plans and questions lost (POLICY.md).
+_LEAST_DIVIDED: Final = 8
 #: Divisions that are kept: one for each service and change of its upstreams.
 _KEPT_ROLES: Final = 8
 
@@ -39,7 +42,7 @@
 class Roles:
     """Upstreams that read long prompts, and those left to short ones.
 
-    The only one of a region is both.
+    In a region with few of them all are both.
     """
 
     reading: frozenset[str] = frozenset()
@@ -69,9 +72,10 @@
     answering: set[str] = set()
     for names in by_region.values():
         names.sort(key=_rank)
-        count = max(1, round(_READING_PART * len(names)))
-        reading.update(names[:count])
-        answering.update(names[count:] or names)
+        is_divided = len(names) >= _LEAST_DIVIDED
+        count = round(_READING_PART * len(names))
+        reading.update(names[:count] if is_divided else names)
+        answering.update(names[count:] if is_divided else names)
     return Roles(frozenset(reading), frozenset(answering))
 
 
