--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -20,8 +20,9 @@
 _WEIGHT: Final = 0.2
 #: Age up to which a load that an upstream reported is corrected and used.
 _REPORT_AGE_S: Final = 0.5
-#: Age up to which a peer's counts are used: some lost exchanges.
-_PEER_AGE_S: Final = 2.0
+#: Age up to which a peer's counts are used: of ten instances in a region each
+#: is met about once a second, and few are not met within this time.
+_PEER_AGE_S: Final = 3.0
 #: Weight of failures from which an idle upstream is told of as well.
 _LEAST_FAILURES: Final = 0.3
 #: Bounds on the learnt pace: an upstream may be this much slower or faster.
