--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -67,6 +67,14 @@
                 json={'is_down': is_down},
             )
 
+    async def delete(self, key: str) -> None:
+        """Deletes a record."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            await client.post(
+                f'http://{self.store}/control/mode',
+                json={'delete': [key]},
+            )
+
     async def put(self, key: str, document: object) -> None:
         """Publishes a record."""
         async with httpx.AsyncClient(trust_env=False) as client:
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,15 +1,18 @@
 """The program of `make soak`: faults over the platform's stand-ins.
 
-Instances are killed and stopped, replicas crash and misbehave, the store goes
-down, while callers ask.  Then the runs that the replicas printed are compared
+Instances are killed and stopped, replicas crash and misbehave, both stand
+still, data centres are evacuated, the store goes down, while callers ask.
+Then the runs that the replicas printed are compared
 with what the callers saw.  The last line is one JSON object.
 """
 
 import json
+import signal
 import sys
 from collections import Counter
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 from typing import Any, Final
 
 import fire
@@ -17,11 +20,14 @@
 import trio
 
 from bench.platform_callers import ONCE, PROMISES, Seen, ask
-from bench.platform_fleet import PlatformFleet, running_platform
+from bench.platform_fleet import PLACES, PlatformFleet, running_platform
 
 _PAUSE_S: Final = 1.5
 _DOWN_S: Final = 1.0
-_FAULTS: Final = ('kill', 'stop', 'crash', 'store')
+#: Time for which a process stands still: shorter and longer than the standstill
+#: after which an instance refreshes its view (1.2 s).
+_STILL_S: Final = (0.5, 3.0)
+_EVACUATED_S: Final = 3.0
 #: Part of the requests that must be answered in spite of all faults.
 _LEAST_SERVED: Final = 0.5
 
@@ -103,18 +109,57 @@
 ) -> None:
     while True:
         await trio.sleep(random.uniform(0.5, 2) * _PAUSE_S)
-        fault = random.choice(_FAULTS)
-        done[fault] += 1
-        if fault == 'store':
-            await fleet.set_mode(is_down=True)
-            await trio.sleep(_DOWN_S)
-            await fleet.set_mode(is_down=False)
-        else:
-            names = fleet.replicas if fault == 'crash' else fleet.listen
-            await fleet.restart(
-                random.choice(sorted(names)),
-                is_killed=fault != 'stop',
-            )
+        name = random.choice(sorted(_FAULTS))
+        done[name] += 1
+        await _FAULTS[name](fleet, random)
+
+
+async def _take_store_down(fleet: PlatformFleet, _random: Random) -> None:
+    await fleet.set_mode(is_down=True)
+    await trio.sleep(_DOWN_S)
+    await fleet.set_mode(is_down=False)
+
+
+async def _kill(fleet: PlatformFleet, random: Random) -> None:
+    await fleet.restart(random.choice(sorted(fleet.listen)), is_killed=True)
+
+
+async def _stop(fleet: PlatformFleet, random: Random) -> None:
+    await fleet.restart(random.choice(sorted(fleet.listen)), is_killed=False)
+
+
+async def _crash(fleet: PlatformFleet, random: Random) -> None:
+    await fleet.restart(random.choice(sorted(fleet.replicas)), is_killed=True)
+
+
+async def _freeze(fleet: PlatformFleet, random: Random) -> None:
+    """Lets an instance or a replica stand still for a while."""
+    names = random.choice((fleet.listen, fleet.replicas))
+    process = fleet.processes[random.choice(sorted(names))]
+    process.send_signal(signal.SIGSTOP)
+    try:
+        await trio.sleep(random.uniform(*_STILL_S))
+    finally:
+        process.send_signal(signal.SIGCONT)
+
+
+async def _evacuate(fleet: PlatformFleet, random: Random) -> None:
+    data_centre, _ = random.choice(PLACES)
+    await fleet.put(f'op/evacuate/{data_centre}', {})
+    await trio.sleep(_EVACUATED_S)
+    await fleet.delete(f'op/evacuate/{data_centre}')
+
+
+_FAULTS: Final = MappingProxyType(
+    {
+        'crash': _crash,
+        'evacuate': _evacuate,
+        'freeze': _freeze,
+        'kill': _kill,
+        'stop': _stop,
+        'store': _take_store_down,
+    }
+)
 
 
 def run(
