--- a/src/masticstage/entry_program.py
+++ b/src/masticstage/entry_program.py
@@ -1,47 +1,8 @@
 """The program masticstage-entry: an entry instance on the users' platform."""
 
-import os
-import sys
-from pathlib import Path
-from typing import Final
-
 import fire
-import trio
-from returns.result import Failure, Success
-
-from masticstage.clock import SystemClock
-from masticstage.composition.gateways import build_gateway
-from masticstage.documents import print_faults
-from masticstage.edges.decision_log import unblock_output
-from masticstage.edges.life import run_gateway
-from masticstage.edges.reload import SettingsFile, load_entry_settings
-from masticstage.exits import Exit
-
-_SETTINGS: Final = 'MASTICSTAGE_SETTINGS'
-
-
-def run(settings: str = '') -> None:
-    """Runs an entry instance until SIGTERM or SIGINT has drained it.
-
-    Args:
-        settings: path of the settings file (TOML); by default the one that
-            the variable MASTICSTAGE_SETTINGS names.
-
-    """
-    path = settings or os.environ.get(_SETTINGS, '')
-    match load_entry_settings(Path(path)):
-        case Success(loaded):
-            unblock_output()
-            trio.run(_run, SettingsFile(Path(path), loaded))
-        case Failure(faults):
-            print_faults(faults)
-            sys.exit(Exit.BAD_INPUT)
-
 
-async def _run(settings_file: SettingsFile) -> None:
-    async with trio.open_nursery() as nursery:
-        gateway = build_gateway(settings_file, SystemClock(), nursery)
-        await run_gateway(gateway)
+from masticstage.entry import run
 
 
 def main() -> None:
--- a/src/masticstage_entry.py
+++ b/src/masticstage_entry.py
@@ -1,6 +1,6 @@
 """Starts an entry instance from a source tree, without an installation."""
 
-from masticstage.entry_program import main
+from masticstage.entry import run
 
 if __name__ == '__main__':
-    main()
+    run()
