Learn how often unseen shared parts are held at their home

Cause: an instance knows only what it has had read itself. Change: the share of such parts that are held is learnt for each service from first events at idle engines; reading is expected for the rest only. It takes the place of a constant of 0.35 not held.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -352,5 +352,8 @@
         choice.place.state,
         choice.place.state.pace * seen_s / choice.expected_s,
     )
-    if not task.is_stream:
+    if task.is_stream:
+        prompt = task.request.prompt
+        gateway.beliefs.chooser.note_first_event(choice, prompt, seen_s)
+    else:
         gateway.beliefs.chooser.note_call(choice, seen_s)
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -16,6 +16,7 @@
 import attrs
 
 from masticstage.clock import Clock
+from masticstage.forwarding.hits import HitShares
 from masticstage.forwarding.homes import (
     can_copy,
     holds,
@@ -54,8 +55,6 @@
 _BUSY_READ_COST: Final = 1.6
 #: Cost of copying them from another engine: the price of the moved memory.
 _COPY_COST: Final = 0.05
-#: Part of the cost of reading when they are only believed to be at their home.
-_UNSURE: Final = 0.35
 #: Unread tokens at an engine from which it counts as busy: 0.2 s of reading.
 _BUSY_TOKENS: Final = 12_000
 #: Rank that counts all unread tokens, whatever their priority.
@@ -111,6 +110,7 @@
     _view: FleetView
     _loads: LoadTable
     _members: MemberTable
+    _hits: HitShares = attrs.field(factory=HitShares)
     _hops_s: dict[str, float] = attrs.field(factory=dict)
     _calls_s: dict[str, float] = attrs.field(factory=dict)
 
@@ -167,6 +167,17 @@
             seen_s = seconds / choice.place.state.pace
             self._calls_s[service] = _average(known, seen_s)
 
+    def note_first_event(
+        self,
+        choice: Choice,
+        prompt: Prompt,
+        seen_s: float,
+    ) -> None:
+        """Learns from the time to the first event of a stream."""
+        read_tokens = prompt.own_tokens + choice.unsure_tokens / 2
+        half_s = _FIRST_EVENT_S + read_tokens / _TOKENS_PER_S
+        self._hits.note(choice, seen_s, half_s)
+
     def note_cold_dispatch(self, choice: Choice) -> None:
         """Notes a request that goes to a cold upstream."""
         choice.place.state.cold_sent_at_s = self._now_s()
@@ -291,12 +302,15 @@
     ) -> Choice:
         prompt, source = request.prompt, common.source
         uncached = place.state.cache.uncached(prompt)
+        missing = max(0, uncached - prompt.own_tokens)
         fetch_from = ''
         cost: float = 0
         if source is not None and source is not place:
-            missing = max(0, uncached - prompt.own_tokens)
             fetch_from, uncached = plan_fetch(place, source, prompt, uncached)
             cost = self._missing_cost(place, source, prompt, missing)
+        unsure = missing if fetch_from or source is place else 0
+        unsure = min(unsure, uncached - prompt.own_tokens)
+        uncached -= round(unsure * self._hits.share(place.plan.name))
         expected_s = self._expected_s(place, uncached, route.priority)
         target_s = route.target.total_seconds() or _DEFAULT_TARGET_S
         cost += _lateness(expected_s / target_s)
@@ -309,6 +323,8 @@
             uncached,
             self._ahead(place),
             fetch_from,
+            unsure,
+            self._loads.unread_tokens(place.state, _ALL_RANKS),
         )
 
     def _missing_cost(
@@ -330,7 +346,8 @@
         busy = min(1, pending / _BUSY_TOKENS)
         cost = part * (_READ_COST + busy * _BUSY_READ_COST)
         if can_copy(place, source):
-            return _UNSURE * cost + _COPY_COST * part
+            unheld = 1 - self._hits.share(place.plan.name)
+            return unheld * cost + _COPY_COST * part
         return cost
 
     def _expected_s(
--- a/src/masticstage/forwarding/places.py
+++ b/src/masticstage/forwarding/places.py
@@ -36,6 +36,8 @@
     `cost` is the share of the request's worth that is expected to be lost,
     `ahead` the number of requests that wait before this one, `fetch_from` the
     address of an upstream that holds the shared parts of its prompt.
+    `unsure_tokens` are those of its shared parts that may be held there or
+    not, `backlog` the tokens that were unread there before it.
     """
 
     place: Place
@@ -44,6 +46,8 @@
     uncached_tokens: int
     ahead: int = 0
     fetch_from: str = ''
+    unsure_tokens: int = 0
+    backlog: float = 0
 
     @property
     def upstream(self) -> str:
