State machine of repeats: evidence, attempts, shared budget, refusals

Three instances that share a budget, routes of four kinds. Broken variants that it catches, by hand: repeats without regard to the kind of request, and a budget of which each instance uses 1.5 times its part (missed until a rule that fails many requests in a row was added).

--- /dev/null
+++ b/tests/forwarding/test_repeats_machine.py
@@ -0,0 +1,139 @@
+"""State machine: repeats of many requests at instances that share a budget."""
+
+from datetime import timedelta
+
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+)
+
+from masticstage.clock import ManualClock
+from masticstage.forwarding.budgets import BudgetBounds, RepeatBudget
+from masticstage.forwarding.evidence import AttemptHistory, Evidence
+from masticstage.forwarding.requests import CallKind
+from tests.routed import build_route, build_stream_route
+
+_BOUNDS = BudgetBounds(0.2, timedelta(seconds=10), 4)
+_INSTANCES = 3
+_SERVICE = 'shop'
+_UNRUN = frozenset((Evidence.NOT_SENT, Evidence.NOT_RUN))
+_ROUTES = (
+    build_route(max_attempts=2),
+    build_route(kind=CallKind.UNSAFE, max_attempts=3),
+    build_stream_route(max_attempts=2),
+    build_stream_route(is_resumable=False, max_attempts=1),
+)
+
+
+@attrs.define(eq=False)
+class _Asked:
+    """One request, what was decided about it, and what really happened."""
+
+    history: AttemptHistory
+    is_idempotent: bool
+    budget: RepeatBudget
+    runs: int = 0
+    is_refused: bool = False
+
+
+class RepeatMachine(RuleBasedStateMachine):
+    """Follows the order of decisions of an instance for each dispatch."""
+
+    asked = Bundle('asked')
+
+    def __init__(self):
+        """Starts with instances that are older than the window."""
+        super().__init__()
+        self.clock = ManualClock()
+        self.budgets = [
+            RepeatBudget(self.clock, _BOUNDS, _INSTANCES)
+            for _ in range(_INSTANCES)
+        ]
+        self.clock.advance(_BOUNDS.window)
+        self.requests = []
+        self.repeats = []
+        self.all = []
+
+    @rule(
+        target=asked,
+        route=st.sampled_from(_ROUTES),
+        instance=st.integers(0, _INSTANCES - 1),
+    )
+    def ask(self, route, instance):
+        budget = self.budgets[instance]
+        budget.note_request(_SERVICE)
+        self.requests.append(self.clock.elapsed())
+        return self._begin(route, budget)
+
+    @rule(one=asked, evidence=st.sampled_from(list(Evidence)))
+    def dispatch(self, one, evidence):
+        history = one.history
+        if one.is_refused or not history.may_dispatch():
+            return
+        if history.has_arrived:
+            if not one.budget.try_take(_SERVICE):
+                return
+            self.repeats.append(self.clock.elapsed())
+        history.record(f'u-{len(history.tried)}', evidence)
+        one.runs += evidence not in _UNRUN
+
+    @rule(
+        instance=st.integers(0, _INSTANCES - 1),
+        count=st.integers(1, 8),
+    )
+    def fail_many(self, instance, count):
+        """An upstream fails requests in a row; all are to go elsewhere."""
+        budget = self.budgets[instance]
+        for _ in range(count):
+            budget.note_request(_SERVICE)
+            self.requests.append(self.clock.elapsed())
+            one = self._begin(_ROUTES[0], budget)
+            self.dispatch(one, Evidence.FAILED)
+            self.dispatch(one, Evidence.ANSWERED)
+
+    @rule(one=asked)
+    def refuse(self, one):
+        """Says `not run` where the history permits it."""
+        one.is_refused = one.is_refused or not one.history.may_have_run
+
+    @rule(seconds=st.floats(0.1, 6))
+    def wait(self, seconds):
+        self.clock.advance(timedelta(seconds=seconds))
+
+    @invariant()
+    def what_may_run_once_runs_once(self):
+        assert all(one.runs <= 1 for one in self.all if not one.is_idempotent)
+
+    @invariant()
+    def attempts_are_bounded(self):
+        assert all(one.runs <= 2 for one in self.all)
+
+    @invariant()
+    def a_refusal_is_true(self):
+        assert not any(one.is_refused and one.runs for one in self.all)
+
+    @invariant()
+    def all_together_stay_inside_the_budget(self):
+        start = self.clock.elapsed() - _BOUNDS.window
+        earned = sum(moment > start for moment in self.requests)
+        taken = sum(moment > start for moment in self.repeats)
+        assert taken <= _BOUNDS.ratio * earned + _BOUNDS.slack
+
+    def _begin(self, route, budget):
+        one = _Asked(AttemptHistory(route), route.is_idempotent, budget)
+        self.all.append(one)
+        return one
+
+
+RepeatMachine.TestCase.settings = settings(
+    max_examples=100,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+)
+TestRepeats = RepeatMachine.TestCase
