--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -20,6 +20,7 @@
 from masticstage.forwarding.image import RecordImage
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.overload import Overload
+from masticstage.forwarding.reach import Reach
 from masticstage.forwarding.trouble import TroubleWatch
 from masticstage.forwarding.view import FleetView
 from masticstage.membership import Member, MemberId, MemberTable
@@ -85,6 +86,7 @@
     view = FleetView(clock)
     loads = LoadTable(clock)
     random = Random()  # noqa: S311 (spreads load; not for secrets)
+    reach = Reach(clock, random, view, loads, members)
     bounds = BudgetBounds(
         settings.bounds.repeat_ratio,
         timedelta(seconds=settings.bounds.repeat_window_s),
@@ -96,7 +98,7 @@
         TroubleWatch(clock),
         members,
         loads,
-        Chooser(clock, random, view, loads, members),
+        Chooser(clock, random, reach, loads),
         Quarantine(clock),
         RepeatBudget(clock, bounds, 2 * len(settings.places)),
         Overload(clock),
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -6,7 +6,7 @@
 upstream holds, crossing regions and failures all cost a share of the worth.
 """
 
-from collections.abc import Collection, Iterator, Sequence
+from collections.abc import Collection, Sequence
 from datetime import timedelta
 from math import exp
 from random import Random
@@ -23,14 +23,12 @@
     plan_fetch,
     source_of,
 )
-from masticstage.forwarding.loads import LoadTable, UpstreamState
+from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.places import Choice, Place
-from masticstage.forwarding.published import UpstreamRecord
+from masticstage.forwarding.reach import Reach
 from masticstage.forwarding.requests import CallerRequest, Prompt
-from masticstage.forwarding.routes import Route, ServicePlan
-from masticstage.forwarding.view import FleetView, KnownUpstream
-from masticstage.forwarding.warmups import chosen_sender, cold_interval_s
-from masticstage.membership import Liveness, Member, MemberTable
+from masticstage.forwarding.routes import Route
+from masticstage.forwarding.view import KnownUpstream
 
 #: Prompt tokens that an engine reads in a second, until `pace` is learnt.
 _TOKENS_PER_S: Final = 60_000
@@ -107,9 +105,8 @@
 
     _clock: Clock
     _random: Random
-    _view: FleetView
+    _reach: Reach
     _loads: LoadTable
-    _members: MemberTable
     _hits: HitShares = attrs.field(factory=HitShares)
     _hops_s: dict[str, float] = attrs.field(factory=dict)
     _calls_s: dict[str, float] = attrs.field(factory=dict)
@@ -122,7 +119,8 @@
         tried: Collection[str] = (),
     ) -> Choice | None:
         """Returns the best place for a request, None when there is none."""
-        choices = self._compare(request, route, service, tried)
+        places = list(self._reach.places(route, service))
+        choices = self._compare(request, route, places, places, tried)
         return min(choices, key=_cost, default=None)
 
     def local(
@@ -138,12 +136,14 @@
         clearly better by what is known here.
         """
         service = route.service_for(request.request_id)
-        far = [
-            known.record.name
-            for known in self._view.upstreams_of(service)
-            if known.record.region != self._members.own.region
-        ]
-        choices = self._compare(request, route, service, {*tried, *far})
+        places = list(self._reach.places(route, service))
+        choices = self._compare(
+            request,
+            route,
+            places,
+            [place for place in places if place.via is None],
+            tried,
+        )
         best = min(choices, key=_cost, default=None)
         for one in choices:
             is_good = best is None or one.cost <= best.cost + _PREFERENCE
@@ -190,7 +190,7 @@
 
     def is_cold(self, known: KnownUpstream) -> bool:
         """Tells whether an upstream is still warming up."""
-        return known.cold_until > self._clock.elapsed()
+        return self._reach.is_cold(known)
 
     def call_s(self, service: str) -> float:
         """Returns the learnt time of a plain call."""
@@ -200,13 +200,17 @@
         self,
         request: CallerRequest,
         route: Route,
-        service: str,
+        places: Sequence[Place],
+        allowed: Sequence[Place],
         tried: Collection[str],
     ) -> list[Choice]:
-        """Predicts for the holder of the prompt and a sample of the others."""
-        places = list(self._places(route, service))
+        """Predicts for a sample of the allowed places.
+
+        The one that holds the prompt is always among them; it is looked for
+        among all `places`, as others can copy from it.
+        """
         source = source_of(request.prompt, places)
-        untried = [one for one in places if one.known.record.name not in tried]
+        untried = [one for one in allowed if one.known.record.name not in tried]
         sampled = self._sample(untried, source)
         common = _Common(source, self._usual_failures(sampled))
         return [
@@ -229,70 +233,6 @@
             sampled.extend([source] if source else ())
         return sampled
 
-    def _places(self, route: Route, service: str) -> Iterator[Place]:
-        plan = self._view.plan(service)
-        if plan is None:
-            return
-        own_region = self._members.own.region
-        vias: dict[str, Member | None] = {}
-        for known in self._view.upstreams_of(service):
-            record = known.record
-            if not route.allows(record.region):
-                continue
-            if record.region != own_region and record.data_centre not in vias:
-                vias[record.data_centre] = self._pick_member(record)
-            via = vias.get(record.data_centre)
-            is_reached = via is not None or record.region == own_region
-            if is_reached and self._is_usable(known, plan, via):
-                yield Place(known, plan, self._state(known, plan), via)
-
-    def _is_usable(
-        self,
-        known: KnownUpstream,
-        plan: ServicePlan,
-        via: Member | None,
-    ) -> bool:
-        state = self._state(known, plan)
-        if state.health.is_doubtful:
-            return False
-        if not plan.cold_rate or not self.is_cold(known):
-            return True
-        if via is not None:
-            return False
-        return self._may_send_cold(known, plan, state)
-
-    def _may_send_cold(
-        self,
-        known: KnownUpstream,
-        plan: ServicePlan,
-        state: UpstreamState,
-    ) -> bool:
-        own = self._members.own
-        names = [own.identity.name]
-        names.extend(
-            member.identity.name
-            for member in self._members.others()
-            if member.region == own.region and member.liveness is Liveness.LIVE
-        )
-        if chosen_sender(known.record.name, names) != own.identity.name:
-            return False
-        idle_s = self._now_s() - state.cold_sent_at_s
-        return idle_s >= cold_interval_s(plan.cold_rate)
-
-    def _pick_member(self, record: UpstreamRecord) -> Member | None:
-        """Returns an instance that reaches an upstream of another region.
-
-        One in the upstream's data centre, if there is any.
-        """
-        live = [
-            member
-            for member in self._members.others()
-            if member.region == record.region
-            and member.liveness is Liveness.LIVE
-        ]
-        beside = [one for one in live if one.data_centre == record.data_centre]
-        return self._random.choice(beside or live) if live else None
-
     def _predict(
         self,
         place: Place,
@@ -379,10 +319,7 @@
     def _crossing_cost(self, place: Place) -> float:
         if place.via is not None:
             return _CROSSING_COST
-        is_beside = (
-            place.known.record.data_centre == self._members.own.data_centre
-        )
-        return 0 if is_beside else _CENTRE_COST
+        return 0 if self._reach.is_beside(place) else _CENTRE_COST
 
     def _usual_failures(self, places: Sequence[Place]) -> float:
         """Returns the median share of failures at places, the lower one."""
@@ -394,12 +331,6 @@
         rate = self._loads.outcomes(place.state).rate
         return cost * max(0, rate - usual - _CHANCE_FAILURES)
 
-    def _state(self, known: KnownUpstream, plan: ServicePlan) -> UpstreamState:
-        engine = plan.engine
-        record = known.record
-        memory = engine.memory_tokens if engine else 0
-        return self._loads.state(record.name, record.born_ms, memory)
-
     def _hop_s(self, region: str) -> float:
         return self._hops_s.get(region, _DEFAULT_HOP_S)
 
--- /dev/null
+++ b/src/masticstage/forwarding/reach.py
@@ -0,0 +1,111 @@
+"""Which upstreams may serve a request now, and through which instance."""
+
+from collections.abc import Iterator
+from random import Random
+from typing import final
+
+import attrs
+
+from masticstage.clock import Clock
+from masticstage.forwarding.loads import LoadTable, UpstreamState
+from masticstage.forwarding.places import Place
+from masticstage.forwarding.published import UpstreamRecord
+from masticstage.forwarding.routes import Route, ServicePlan
+from masticstage.forwarding.view import FleetView, KnownUpstream
+from masticstage.forwarding.warmups import chosen_sender, cold_interval_s
+from masticstage.membership import Liveness, Member, MemberTable
+
+
+@final
+@attrs.define
+class Reach:
+    """Lists places by what is published and by who lives."""
+
+    _clock: Clock
+    _random: Random
+    _view: FleetView
+    _loads: LoadTable
+    _members: MemberTable
+
+    def is_cold(self, known: KnownUpstream) -> bool:
+        """Tells whether an upstream is still warming up."""
+        return known.cold_until > self._clock.elapsed()
+
+    def is_beside(self, place: Place) -> bool:
+        """Tells whether a place is in this instance's data centre."""
+        own = self._members.own.data_centre
+        return place.known.record.data_centre == own
+
+    def places(self, route: Route, service: str) -> Iterator[Place]:
+        """Yields the places that may serve a route of a service."""
+        plan = self._view.plan(service)
+        if plan is None:
+            return
+        own_region = self._members.own.region
+        vias: dict[str, Member | None] = {}
+        for known in self._view.upstreams_of(service):
+            record = known.record
+            if not route.allows(record.region):
+                continue
+            if record.region != own_region and record.data_centre not in vias:
+                vias[record.data_centre] = self._pick_member(record)
+            via = vias.get(record.data_centre)
+            is_reached = via is not None or record.region == own_region
+            if is_reached and self._is_usable(known, plan, via):
+                yield Place(known, plan, self._state(known, plan), via)
+
+    def _is_usable(
+        self,
+        known: KnownUpstream,
+        plan: ServicePlan,
+        via: Member | None,
+    ) -> bool:
+        state = self._state(known, plan)
+        if state.health.is_doubtful:
+            return False
+        if not plan.cold_rate or not self.is_cold(known):
+            return True
+        if via is not None:
+            return False
+        return self._may_send_cold(known, plan, state)
+
+    def _may_send_cold(
+        self,
+        known: KnownUpstream,
+        plan: ServicePlan,
+        state: UpstreamState,
+    ) -> bool:
+        own = self._members.own
+        names = [own.identity.name]
+        names.extend(
+            member.identity.name
+            for member in self._members.others()
+            if member.region == own.region and member.liveness is Liveness.LIVE
+        )
+        if chosen_sender(known.record.name, names) != own.identity.name:
+            return False
+        idle_s = self._now_s() - state.cold_sent_at_s
+        return idle_s >= cold_interval_s(plan.cold_rate)
+
+    def _pick_member(self, record: UpstreamRecord) -> Member | None:
+        """Returns an instance that reaches an upstream of another region.
+
+        One in the upstream's data centre, if there is any.
+        """
+        live = [
+            member
+            for member in self._members.others()
+            if member.region == record.region
+            and member.liveness is Liveness.LIVE
+        ]
+        beside = [one for one in live if one.data_centre == record.data_centre]
+        return self._random.choice(beside or live) if live else None
+
+    def _state(self, known: KnownUpstream, plan: ServicePlan) -> UpstreamState:
+        engine = plan.engine
+        record = known.record
+        memory = engine.memory_tokens if engine else 0
+        return self._loads.state(record.name, record.born_ms, memory)
+
+    def _now_s(self) -> float:
+        return self._clock.elapsed().total_seconds()
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -10,6 +10,7 @@
 from masticstage.forwarding.choice import Chooser
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.published import UpstreamRecord
+from masticstage.forwarding.reach import Reach
 from masticstage.forwarding.requests import (
     CallerRequest,
     CallKind,
@@ -144,5 +145,7 @@
     members = MemberTable(clock, build_member('own'), timedelta(seconds=5))
     members.merge(others)
     view.take('c', build_table())
-    chooser = Chooser(clock, Random(1), view, loads, members)
+    random = Random(1)
+    reach = Reach(clock, random, view, loads, members)
+    chooser = Chooser(clock, random, reach, loads)
     return World(clock, view, loads, members, chooser)
