Tell only of own upstreams; learn nothing of what a relay left out

Cause (found by reading the diff): outcomes of relayed dispatches counted as own ones, so a region told sums of another region's failing upstreams with no work in flight, which replaced what that region itself had told. And since relays may take another upstream, the sender noted prompts and outcomes at the one that it had preferred. Change: outcomes of relays are counted apart and not told; nothing is noted when the relay took another. Builders of running gateways moved to tests/edges/entry.py.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -332,14 +332,18 @@
         status=ended.head.status if ended.head else None,
         took_ms=round(seen_s * 1000),
     )
+    if ended.upstream != choice.upstream:
+        # A relay has taken another one, of which its own region tells.
+        return
+    is_relayed = choice.place.via is not None
     if ended.evidence is Evidence.ANSWERED:
-        loads.note_outcome(state, is_failure=False)
+        loads.note_outcome(state, is_failure=False, is_relayed=is_relayed)
         state.cache.note_read(task.request.prompt)
-        if choice.place.via is None:
+        if not is_relayed:
             _learn_times(gateway, task, choice, seen_s)
         return
     is_failure = ended.evidence is not Evidence.NOT_RUN
-    loads.note_outcome(state, is_failure=is_failure)
+    loads.note_outcome(state, is_failure=is_failure, is_relayed=is_relayed)
 
 
 def _learn_times(
--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -89,8 +89,9 @@
     `direct` is what this instance has there itself, `relayed` what it has
     sent through peers, who count it as theirs.  `peers` is what others of this
     region have there, `region` the sum that another region told of itself.
-    `told` is the sum of both while none of them is too old.  `pace` is the
-    ratio of seen to expected times.
+    `told` is the sum of both while none of them is too old.  `health` is learnt
+    from own dispatches, `relay_health` from relayed ones.  `pace` is the ratio
+    of seen to expected times.
     """
 
     born_ms: int
@@ -101,6 +102,7 @@
     reported_at_s: float = 0
     in_flight_when_reported: int = 0
     health: Health = attrs.field(factory=Health)
+    relay_health: Health = attrs.field(factory=Health)
     pace: float = 1
     cold_sent_at_s: float = -1
     peers: dict[str, _PeerLoad] = attrs.field(factory=dict)
@@ -162,7 +164,9 @@
 
     def outcomes(self, state: UpstreamState) -> Outcomes:
         """Returns recent outcomes at an upstream, those of others included."""
-        seen = state.health.outcomes(self._now_s())
+        now_s = self._now_s()
+        relayed = state.relay_health.outcomes(now_s)
+        seen = state.health.outcomes(now_s).plus(relayed)
         return seen.plus(self._told(state).outcomes)
 
     def note_report(self, state: UpstreamState, load: ReportedLoad) -> None:
@@ -171,9 +175,20 @@
         state.reported_at_s = self._now_s()
         state.in_flight_when_reported = state.direct.in_flight
 
-    def note_outcome(self, state: UpstreamState, *, is_failure: bool) -> None:
-        """Learns from the end of a dispatch."""
-        state.health.note_outcome(self._now_s(), is_failure=is_failure)
+    def note_outcome(
+        self,
+        state: UpstreamState,
+        *,
+        is_failure: bool,
+        is_relayed: bool = False,
+    ) -> None:
+        """Learns from the end of a dispatch.
+
+        Of a relayed one the peer tells others; it may also be the peer or the
+        way to it that has failed.
+        """
+        health = state.relay_health if is_relayed else state.health
+        health.note_outcome(self._now_s(), is_failure=is_failure)
 
     def note_pace(self, state: UpstreamState, ratio: float) -> None:
         """Learns from the ratio of a seen to an expected time."""
--- a/tests/edges/entry.py
+++ b/tests/edges/entry.py
@@ -1,11 +1,20 @@
 """Builders for entry instances on loopback."""
 
 import socket
+from collections import deque
+from contextlib import asynccontextmanager
 from functools import partial, wraps
 from pathlib import Path
 
+import attrs
 import trio
 
+from bench.ports import wait_for_port
+from masticstage.clock import SystemClock
+from masticstage.composition.gateways import build_gateway
+from masticstage.edges.connections import Connection, Outgoing, connect
+from masticstage.edges.gateway import Gateway
+from masticstage.edges.life import run_gateway
 from masticstage.edges.reload import SettingsFile
 from masticstage.entrysettings_schema import (
     EntryBounds,
@@ -15,9 +24,13 @@
     EntrySettings,
     EntryStore,
 )
+from masticstage.exceptions import BrokenConnectionError
 from masticstage.forwarding.published import UpstreamRecord
-from standins.replica import Replica
+from masticstage.forwarding.routes import RouteTable
+from standins.replica import Fault, Replica
+from tests.routed import build_table
 
+_ID = b'x-request-id'
 _TEST_S = 20
 
 
@@ -52,10 +65,13 @@
     peers: str,
     entries: str,
     store: str,
+    *,
+    region: str = 'north',
 ) -> SettingsFile:
-    """Returns the settings of an instance in the north."""
+    """Returns the settings of the instance `own`, or of one elsewhere."""
+    name = 'own' if region == 'north' else region
     settings = EntrySettings(
-        EntryInstance('own', 'north-a', 'north', '127.0.0.1'),
+        EntryInstance(name, f'{region}-a', region, '127.0.0.1'),
         EntryListen(callers, readiness, peers, entries),
         EntryStore(store),
         (EntryPlace('north-a', 'north'), EntryPlace('south-a', 'south')),
@@ -87,3 +103,116 @@
         'north',
         8,
     )
+
+
+@attrs.define
+class Entry:
+    """A running gateway with two replicas of each service."""
+
+    gateway: Gateway
+    replicas: dict[str, Replica]
+    ids: int = 0
+
+    def break_with(self, *faults: Fault, name: str = '') -> None:
+        """Sets what the replicas of one name do with their next requests."""
+        for key, replica in self.replicas.items():
+            if key.startswith(name):
+                replica.faults = deque(faults)
+
+    def ran(self) -> list[str]:
+        """Returns the ids of all requests that any replica ran."""
+        return [one for each in self.replicas.values() for one in each.ran]
+
+    async def open(self) -> Connection:
+        """Connects as a caller."""
+        address = self.gateway.settings.listen.callers
+        return await connect(address, 1, SystemClock())
+
+    async def ask(self, path, body=b'', *headers):
+        """Sends one request; returns status, headers and the whole body."""
+        status, fields, answer, is_whole = await self.listen(
+            path,
+            body,
+            *headers,
+        )
+        assert is_whole
+        return status, fields, answer
+
+    async def listen(self, path, body=b'', *headers):
+        """Sends one request; returns what came, and whether it is whole."""
+        self.ids += 1
+        connection = await self.open()
+        outgoing = Outgoing(
+            b'POST' if body else b'GET',
+            path,
+            (
+                (b'host', b'shop.example'),
+                (_ID, b'r-%d' % self.ids),
+                (b'x-deadline-ms', b'3000'),
+                *headers,
+            ),
+            body,
+        )
+        await connection.send(outgoing, self.gateway.spawn)
+        head = await connection.read_head()
+        answer, is_whole = b'', False
+        try:
+            while not is_whole:
+                chunk = await connection.read_chunk()
+                answer += chunk
+                is_whole = not chunk
+        except BrokenConnectionError:
+            is_whole = False
+        connection.close()
+        return head.status, dict(head.headers), answer, is_whole
+
+
+@asynccontextmanager
+async def entry(table: RouteTable | None = None):
+    """Runs a gateway and four replicas on loopback."""
+    async with trio.open_nursery() as nursery:
+        replicas, records = await _start_replicas(nursery)
+        gateway = await _start_gateway(nursery, records, table, 'north')
+        yield Entry(gateway, replicas)
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def two_regions():
+    """Runs a gateway in the north whose replicas are all in the south.
+
+    Yields it with the gateway of the south.
+    """
+    async with trio.open_nursery() as nursery:
+        replicas, records = await _start_replicas(nursery)
+        south = {'data_centre': 'south-a', 'region': 'south'}
+        records = [attrs.evolve(record, **south) for record in records]
+        far = await _start_gateway(nursery, records, None, 'south')
+        near = await _start_gateway(nursery, records, None, 'north')
+        near.beliefs.members.merge([far.beliefs.members.own])
+        yield Entry(near, replicas), far
+        nursery.cancel_scope.cancel()
+
+
+async def _start_replicas(nursery):
+    replicas = {}
+    records = []
+    for service in ('shop', 'model'):
+        for number in (1, 2):
+            name = f'{service}-{number}'
+            replicas[name] = Replica(name)
+            records.append(
+                await publish_replica(nursery, replicas[name], service),
+            )
+    return replicas, records
+
+
+async def _start_gateway(nursery, records, table, region):
+    settings = build_entry_settings(*free_addresses(5), region=region)
+    gateway = build_gateway(settings, SystemClock(), nursery)
+    for record in records:
+        gateway.beliefs.view.take(f'u/{record.name}', record)
+    gateway.beliefs.view.take('c', table or build_table())
+    nursery.start_soon(run_gateway, gateway)
+    await wait_for_port(gateway.settings.listen.callers)
+    return gateway
--- a/tests/edges/test_gateway.py
+++ b/tests/edges/test_gateway.py
@@ -1,119 +1,17 @@
 """One entry instance over real sockets, with replicas that misbehave."""
 
-from collections import deque
-from contextlib import asynccontextmanager
-
-import attrs
 import pytest
 import trio
 
-from bench.ports import wait_for_port
-from masticstage.clock import SystemClock, milliseconds
-from masticstage.composition.gateways import build_gateway
-from masticstage.edges.connections import Connection, Outgoing, connect
-from masticstage.edges.gateway import Gateway
-from masticstage.edges.life import run_gateway
-from masticstage.exceptions import BrokenConnectionError
+from masticstage.clock import milliseconds
+from masticstage.edges.connections import Outgoing
 from masticstage.forwarding.requests import CallKind
-from masticstage.forwarding.routes import RouteTable
-from standins.replica import Fault, Replica
-from tests.edges.entry import (
-    build_entry_settings,
-    free_addresses,
-    publish_replica,
-    run_briefly,
-)
+from standins.replica import Fault
+from tests.edges.entry import entry, run_briefly
 from tests.routed import build_route, build_stream_route, build_table
 
 _ID = b'x-request-id'
 
-
-@attrs.define
-class Entry:
-    """A running gateway with two replicas of each service."""
-
-    gateway: Gateway
-    replicas: dict[str, Replica]
-    ids: int = 0
-
-    def break_with(self, *faults: Fault, name: str = '') -> None:
-        """Sets what the replicas of one name do with their next requests."""
-        for key, replica in self.replicas.items():
-            if key.startswith(name):
-                replica.faults = deque(faults)
-
-    def ran(self) -> list[str]:
-        """Returns the ids of all requests that any replica ran."""
-        return [one for each in self.replicas.values() for one in each.ran]
-
-    async def open(self) -> Connection:
-        """Connects as a caller."""
-        address = self.gateway.settings.listen.callers
-        return await connect(address, 1, SystemClock())
-
-    async def ask(self, path, body=b'', *headers):
-        """Sends one request; returns status, headers and the whole body."""
-        status, fields, answer, is_whole = await self.listen(
-            path,
-            body,
-            *headers,
-        )
-        assert is_whole
-        return status, fields, answer
-
-    async def listen(self, path, body=b'', *headers):
-        """Sends one request; returns what came, and whether it is whole."""
-        self.ids += 1
-        connection = await self.open()
-        outgoing = Outgoing(
-            b'POST' if body else b'GET',
-            path,
-            (
-                (b'host', b'shop.example'),
-                (_ID, b'r-%d' % self.ids),
-                (b'x-deadline-ms', b'3000'),
-                *headers,
-            ),
-            body,
-        )
-        await connection.send(outgoing, self.gateway.spawn)
-        head = await connection.read_head()
-        answer, is_whole = b'', False
-        try:
-            while not is_whole:
-                chunk = await connection.read_chunk()
-                answer += chunk
-                is_whole = not chunk
-        except BrokenConnectionError:
-            is_whole = False
-        connection.close()
-        return head.status, dict(head.headers), answer, is_whole
-
-
-@asynccontextmanager
-async def entry(table: RouteTable | None = None):
-    """Runs a gateway and four replicas on loopback."""
-    async with trio.open_nursery() as nursery:
-        replicas = {}
-        records = []
-        for service in ('shop', 'model'):
-            for number in (1, 2):
-                name = f'{service}-{number}'
-                replicas[name] = Replica(name)
-                records.append(
-                    await publish_replica(nursery, replicas[name], service),
-                )
-        settings = build_entry_settings(*free_addresses(5))
-        gateway = build_gateway(settings, SystemClock(), nursery)
-        for record in records:
-            gateway.beliefs.view.take(f'u/{record.name}', record)
-        gateway.beliefs.view.take('c', table or build_table())
-        nursery.start_soon(run_gateway, gateway)
-        await wait_for_port(gateway.settings.listen.callers)
-        yield Entry(gateway, replicas)
-        nursery.cancel_scope.cancel()
-
-
 _PROMPT = (
     (b'x-token-counts', b'900,50'),
     (b'x-prompt-prefix', b'a1:800,b2:100'),
--- a/tests/patterns/test_many_instances.py
+++ b/tests/patterns/test_many_instances.py
@@ -129,3 +129,24 @@
     for _ in range(20):
         choice = world.chooser.choose(build_request(), build_route(), 'shop')
         assert choice.place.via.identity.name == 'beside'
+
+
+def test_what_relays_met_is_not_told_as_sums_of_this_region():
+    """The upstream's own region tells what it has there, and nobody else."""
+    _, table = _table('s-1')
+    table.take_region('south', _told_region())
+    state = table.state('s-1')
+    for _ in range(5):
+        table.note_outcome(state, is_failure=True, is_relayed=True)
+
+    assert table.outcomes(state).failed >= 5
+    assert not table.shared()
+    assert not table.shared_region()
+
+
+def test_sums_of_one_region_do_not_replace_those_of_another():
+    _, table = _table('s-1')
+    table.take_region('south', _told_region())
+    table.take_region('east', ())
+
+    assert table.in_flight(table.state('s-1')) == 2 * _INSTANCES
