--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -208,8 +208,7 @@
         Only instances of its region reach an upstream, so these are all.
         """
         sums = [
-            _sum(name, [self._own_load(name, state), *self._near(state)])
-            for name, state in self._states.items()
+            self._near_sum(name, state) for name, state in self._states.items()
         ]
         return tuple(load for load in sums if _is_worth_telling(load))
 
@@ -246,13 +245,16 @@
             state.health.outcomes(self._now_s()),
         )
 
+    def _near_sum(self, name: str, state: UpstreamState) -> SharedLoad:
+        near = [one.load for one in self._fresh(state.peers.values())]
+        return _sum(name, [self._own_load(name, state), *near])
+
     def _told(self, state: UpstreamState) -> SharedLoad:
         """Returns the sum of what others told and is not too old."""
         now_s = self._now_s()
         if state.told is None or now_s >= state.told_until_s:
             region = [state.region] if state.region else []
-            told = [*state.peers.values(), *region]
-            fresh = [one for one in told if one.fresh_until_s > now_s]
+            fresh = self._fresh([*state.peers.values(), *region])
             state.told = _sum('', [one.load for one in fresh])
             state.told_until_s = min(
                 (one.fresh_until_s for one in fresh),
@@ -260,13 +262,9 @@
             )
         return state.told
 
-    def _near(self, state: UpstreamState) -> list[SharedLoad]:
+    def _fresh(self, told: Iterable[_PeerLoad]) -> list[_PeerLoad]:
         now_s = self._now_s()
-        return [
-            peer.load
-            for peer in state.peers.values()
-            if peer.fresh_until_s > now_s
-        ]
+        return [one for one in told if one.fresh_until_s > now_s]
 
     def _now_s(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -280,8 +278,8 @@
 def _sum(upstream: str, loads: Iterable[SharedLoad]) -> SharedLoad:
     """Returns the sum of counts at one upstream.
 
-    It is taken for many upstreams a second; plain additions are a quarter of
-    the time of counters and of sums of objects.
+    It is taken for many upstreams a second; plain additions take less than
+    half of the time of counters and sums of objects.
     """
     in_flight = 0
     failed: float = 0
