--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -162,7 +162,7 @@
         What it takes longer behind others is predicted, not learnt.
         """
         service = choice.place.plan.name
-        known = self._calls_s.get(service, _CALL_S)
+        known = self.call_s(service)
         if not choice.ahead:
             seen_s = seconds / choice.place.state.pace
             self._calls_s[service] = _average(known, seen_s)
