Instances report to each other which engines hold which prefixes

The home is often in another region, so the first prefill is nearby, and no other instance learns where. Change: PrefixReports spread what an instance saw an engine prefill, within its region and once to others; the source of a copy is the home if it holds the prefix, else a known holder, nearby first; holders are compared as well. The log has the prefix and what was assumed of it.

--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -23,6 +23,7 @@
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.overload import OverloadControl
+from masticstage.forwarding.prefix_reports import PrefixReports
 from masticstage.forwarding.record_cache import RecordCache
 from masticstage.forwarding.view import FleetView
 from masticstage.membership import Member, MemberId, MemberTable
@@ -119,4 +120,5 @@
         Quarantine(clock),
         RetryBudget(clock, bounds, 2 * len(settings.places)),
         OverloadControl(clock),
+        PrefixReports(clock),
     )
--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -28,7 +28,12 @@
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.events import EventFramer
 from masticstage.forwarding.evidence import Evidence, classify_answer
-from masticstage.forwarding.requests import CallerRequest, CallKind, Headers
+from masticstage.forwarding.requests import (
+    CallerRequest,
+    CallKind,
+    Headers,
+    Prompt,
+)
 from masticstage.forwarding.routes import Route
 from masticstage.forwarding.wire import AnswerFacts, DispatchOptions
 
@@ -118,6 +123,7 @@
         in_flight=choice.candidate.counters.in_flight,
         bound_ms=timeout // timedelta(milliseconds=1),
         tried=sorted(routed.tried),
+        **_prompt_fields(routed.request.prompt, choice),
     )
     started_s = gateway.elapsed_s()
     with _count_pending_tokens(choice, routed.route.priority):
@@ -139,6 +145,21 @@
     return outcome
 
 
+def _prompt_fields(prompt: Prompt, choice: Choice) -> dict[str, object]:
+    """Returns what was assumed about the prompt, for the log."""
+    if not prompt.tokens_in:
+        return {}
+    prefix = prompt.shared_prefix
+    return {
+        'prefix': prefix[-1].part_id if prefix else '',
+        'tokens_in': prompt.tokens_in,
+        'uncached': choice.uncached_tokens,
+        'unverified': choice.unverified_tokens,
+        'backlog': round(choice.backlog_tokens),
+        'fetch_from': choice.fetch_from,
+    }
+
+
 @contextmanager
 def count_in_flight(choice: Choice) -> Iterator[None]:
     """Counts a request as in flight at an upstream."""
@@ -419,8 +440,12 @@
     is_relayed = choice.candidate.via is not None
     if outcome.evidence is Evidence.ANSWERED:
         loads.record_outcome(state, is_failure=False, is_relayed=is_relayed)
-        state.cache.record_prefill(routed.request.prompt)
+        prompt = routed.request.prompt
+        state.cache.record_prefill(prompt)
         if not is_relayed:
+            gateway.views.prefix_reports.observe(
+                choice.upstream, prompt.shared_prefix
+            )
             _record_times(gateway, routed, choice, took_s)
         return
     is_failure = outcome.evidence is not Evidence.NOT_RUN
--- a/src/masticstage/edges/exchange.py
+++ b/src/masticstage/edges/exchange.py
@@ -1,10 +1,14 @@
 """The message in which two instances tell each other their views."""
 
+from collections.abc import Mapping
+
 from masticstage import peer_pb2 as pb
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.messages import (
     decode_load,
+    decode_prefixes,
     encode_load,
+    encode_prefix,
     hash_name,
     pack_loads,
     unpack_loads,
@@ -54,6 +58,12 @@
         message.packed_loads.CopyFrom(pack_loads(loads))
     else:
         message.loads.extend(encode_load(load) for load in loads)
+    message.prefixes.extend(
+        encode_prefix(report)
+        for report in views.prefix_reports.next_batch(
+            is_own_region=is_own_region
+        )
+    )
     return message
 
 
@@ -64,7 +74,12 @@
         decode_member(record) for record in message.members
     ):
         log_liveness(gateway, member)
-    loads = _decode_loads(gateway, message)
+    names = {hash_name(name): name for name in views.loads.upstream_names()}
+    for report in views.prefix_reports.learn(
+        decode_prefixes(message.prefixes, names)
+    ):
+        views.loads.state(report.upstream).cache.record_parts(report.parts)
+    loads = _decode_loads(message, names)
     if message.summed_region:
         views.loads.replace_region_loads(message.summed_region, loads)
     else:
@@ -112,14 +127,11 @@
 
 
 def _decode_loads(
-    gateway: Gateway,
     message: pb.FleetExchange,
+    names: Mapping[int, str],
 ) -> tuple[SharedLoad, ...]:
     if not message.HasField('packed_loads'):
         return tuple(decode_load(record) for record in message.loads)
-    names = {
-        hash_name(name): name for name in gateway.views.loads.upstream_names()
-    }
     return unpack_loads(message.packed_loads, names)
 
 
--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -24,6 +24,7 @@
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.overload import OverloadControl
+from masticstage.forwarding.prefix_reports import PrefixReports
 from masticstage.forwarding.record_cache import RecordCache, RecordUpdates
 from masticstage.forwarding.requests import CallKind
 from masticstage.forwarding.routes import CallerLimits
@@ -63,6 +64,7 @@
     quarantine: Quarantine
     retry_budget: RetryBudget
     overload: OverloadControl
+    prefix_reports: PrefixReports
 
 
 @final
--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -1,6 +1,6 @@
 """Conversions between protobuf messages of peers and internal types."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from datetime import timedelta
 from typing import Final
 
@@ -10,13 +10,21 @@
 from masticstage.clock import milliseconds
 from masticstage.forwarding.health import Outcomes
 from masticstage.forwarding.loads import SharedLoad
+from masticstage.forwarding.prefix_reports import PrefixReport
 from masticstage.forwarding.record_cache import RecordEvent, RecordUpdates
-from masticstage.forwarding.requests import CallerRequest, CallKind
+from masticstage.forwarding.requests import (
+    CallerRequest,
+    CallKind,
+    PromptPart,
+)
 from masticstage.forwarding.routes import Route, Share
 from masticstage.forwarding.wire import DispatchOptions, RawRequest
 
 #: Units of an outcome in packed loads.
 _TENTHS: Final = 10
+#: Ids of prompt parts are hexadecimal. The messages hold their last 64 bits.
+_HEX_BASE: Final = 16
+_MAX_ID: Final = 0xFFFFFFFFFFFFFFFF
 
 
 def encode_load(load: SharedLoad) -> pb.SharedLoad:
@@ -95,6 +103,32 @@
     return [tokens[slice(start, start + width)] for start in starts]
 
 
+def encode_prefix(report: PrefixReport) -> pb.PrefixReport:
+    """Returns the message for a prefix that an upstream holds."""
+    return pb.PrefixReport(
+        upstream=hash_name(report.upstream),
+        parts=[int(part.part_id, _HEX_BASE) & _MAX_ID for part in report.parts],
+        tokens=[part.tokens for part in report.parts],
+    )
+
+
+def decode_prefixes(
+    reports: Iterable[pb.PrefixReport],
+    names: Mapping[int, str],
+) -> Iterator[PrefixReport]:
+    """Yields the prefixes that a peer reports, given names by their hashes.
+
+    Reports without parts or of upstreams that are not known are left out.
+    """
+    for report in reports:
+        parts = tuple(
+            PromptPart(f'{part_id:x}', tokens)
+            for part_id, tokens in zip(report.parts, report.tokens, strict=True)
+        )
+        if parts and report.upstream in names:
+            yield PrefixReport(names[report.upstream], parts)
+
+
 def encode_updates(updates: RecordUpdates, *, is_outage: bool) -> bytes:
     """Returns record updates as a serialised message.
 
--- a/src/masticstage/forwarding/candidates.py
+++ b/src/masticstage/forwarding/candidates.py
@@ -17,6 +17,11 @@
     state: UpstreamState
     via: Member | None
 
+    @property
+    def name(self) -> str:
+        """Name of the upstream."""
+        return self.known_upstream.record.name
+
     @property
     def slots(self) -> int:
         """Requests that the upstream can run concurrently."""
@@ -56,4 +61,4 @@
     @property
     def upstream(self) -> str:
         """Name of the chosen upstream."""
-        return self.candidate.known_upstream.record.name
+        return self.candidate.name
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -23,6 +23,7 @@
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.prefix_homes import (
     can_copy,
+    find_holders,
     find_prefix_source,
     holds_prefix,
     plan_fetch,
@@ -77,6 +78,8 @@
 _LOCAL_SAMPLE: Final = 6
 #: How many of the local ones are those with an open connection, if there are.
 _CONNECTED_SAMPLE: Final = 3
+#: How many candidates that are known to hold the prefix are compared as well.
+_HOLDERS_SAMPLE: Final = 4
 _REMOTE_SAMPLE: Final = 4
 #: Cost of a failure that ends a request, and of one that is retried.
 _FAILURE_COST: Final = 1.0
@@ -237,9 +240,14 @@
         untried = [
             allowed_candidate
             for allowed_candidate in allowed
-            if allowed_candidate.known_upstream.record.name not in tried
+            if allowed_candidate.name not in tried
         ]
-        sampled = self._sample(untried, source)
+        preferred = [source] if source else []
+        if source:
+            holders = find_holders(request.prompt, untried)
+            count = min(len(holders), _HOLDERS_SAMPLE)
+            preferred.extend(self._random.sample(holders, count))
+        sampled = self._sample(untried, preferred)
         comparison = _Comparison(source, self._typical_failure_rate(sampled))
         return [
             self._predict(candidate, request, route, comparison)
@@ -249,9 +257,12 @@
     def _sample(
         self,
         candidates: Sequence[Candidate],
-        source: Candidate | None,
+        preferred: Sequence[Candidate],
     ) -> list[Candidate]:
-        """Returns a sample of local and remote candidates, and the source."""
+        """Returns a sample of local and remote candidates.
+
+        It includes the preferred ones, as far as they are candidates.
+        """
         local = self._sample_local(
             [candidate for candidate in candidates if candidate.via is None]
         )
@@ -262,11 +273,12 @@
             *local,
             *self._random.sample(remote, min(len(remote), _REMOTE_SAMPLE)),
         ]
-        is_unsampled = all(candidate is not source for candidate in sampled)
-        if is_unsampled and any(
-            candidate is source for candidate in candidates
-        ):
-            sampled.extend([source] if source else ())
+        names = {candidate.name for candidate in sampled}
+        allowed = {candidate.name for candidate in candidates}
+        for candidate in preferred:
+            if candidate.name in allowed - names:
+                sampled.append(candidate)
+                names.add(candidate.name)
         return sampled
 
     def _sample_local(self, candidates: list[Candidate]) -> list[Candidate]:
@@ -277,10 +289,9 @@
             for candidate in candidates
             if self._has_connection(candidate)
         ][:_CONNECTED_SAMPLE]
+        names = {candidate.name for candidate in connected}
         others = [
-            candidate
-            for candidate in candidates
-            if all(candidate is not known for known in connected)
+            candidate for candidate in candidates if candidate.name not in names
         ]
         return [*connected, *others][:_LOCAL_SAMPLE]
 
--- a/src/masticstage/forwarding/prefix_homes.py
+++ b/src/masticstage/forwarding/prefix_homes.py
@@ -38,21 +38,28 @@
 ) -> Candidate | None:
     """Returns the candidate that holds the shared prefix of a prompt.
 
-    That is the home if it is known to hold the prefix, otherwise any candidate
-    that is known to, otherwise the home: requests of other instances may have
-    filled its cache.
+    That is the home if it is known to hold the prefix, otherwise a candidate
+    that is known to, in this region if there is one, otherwise the home. None
+    for a prefix that is too short to matter.
     """
+    if sum(part.tokens for part in prompt.shared_prefix) < _MIN_COPY_TOKENS:
+        return None
     home = find_prefix_home(prompt, candidates)
     if home is None or holds_prefix(home, prompt):
         return home
-    return next(
-        (
-            candidate
-            for candidate in candidates
-            if holds_prefix(candidate, prompt)
-        ),
-        home,
-    )
+    holders = find_holders(prompt, candidates)
+    nearby = [holder for holder in holders if holder.via is None]
+    return next(iter((*nearby, *holders)), home)
+
+
+def find_holders(
+    prompt: Prompt,
+    candidates: Sequence[Candidate],
+) -> list[Candidate]:
+    """Returns the candidates that are known to hold the whole prefix."""
+    return [
+        candidate for candidate in candidates if holds_prefix(candidate, prompt)
+    ]
 
 
 def holds_prefix(candidate: Candidate, prompt: Prompt) -> bool:
--- a/src/masticstage/forwarding/prompts.py
+++ b/src/masticstage/forwarding/prompts.py
@@ -1,11 +1,12 @@
 """Estimates which prompt parts an upstream has cached."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from typing import final
 
 import attrs
 
-from masticstage.forwarding.requests import Prompt
+from masticstage.forwarding.requests import Prompt, PromptPart
 
 #: Fraction of an engine's memory that is assumed to hold parts of past prompts.
 #: Running requests use the rest.
@@ -37,7 +38,11 @@
 
     def record_prefill(self, prompt: Prompt) -> None:
         """Records that an upstream has prefilled the shared prefix."""
-        for part in prompt.shared_prefix:
+        self.record_parts(prompt.shared_prefix)
+
+    def record_parts(self, parts: Iterable[PromptPart]) -> None:
+        """Records that an upstream holds consecutive parts of a prompt."""
+        for part in parts:
             if part.part_id not in self._parts:
                 self._cached_tokens += part.tokens
             self._parts[part.part_id] = part.tokens
--- a/tests/edges/test_messages.py
+++ b/tests/edges/test_messages.py
@@ -7,13 +7,17 @@
 from masticstage import peer_pb2 as pb
 from masticstage.edges.messages import (
     decode_load,
+    decode_prefixes,
     encode_load,
+    encode_prefix,
     hash_name,
     pack_loads,
     unpack_loads,
 )
 from masticstage.forwarding.health import Outcomes
 from masticstage.forwarding.loads import SharedLoad
+from masticstage.forwarding.prefix_reports import PrefixReport
+from masticstage.forwarding.requests import PromptPart
 
 _COUNTS = st.integers(0, 100_000)
 _LOADS = st.lists(
@@ -67,6 +71,17 @@
     assert len(pack_loads(loads).SerializeToString()) < single / 3
 
 
+def test_prefixes_are_read_as_they_were():
+    known = PrefixReport('e-1', (PromptPart('a1', 700), PromptPart('ff', 9)))
+    unknown = PrefixReport('e-2', (PromptPart('a1', 700),))
+    messages = [encode_prefix(known), encode_prefix(unknown)]
+
+    names = {hash_name('e-1'): 'e-1'}
+
+    assert list(decode_prefixes(messages, names)) == [known]
+    assert not list(decode_prefixes([pb.PrefixReport(upstream=1)], {1: 'e'}))
+
+
 def test_upstreams_that_are_not_known_are_left_out():
     loads = [SharedLoad('a', 1, ()), SharedLoad('b', 2, ())]
 
--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -10,6 +10,7 @@
 from masticstage.forwarding.candidate_finder import CandidateFinder
 from masticstage.forwarding.choice import Chooser
 from masticstage.forwarding.loads import LoadTable
+from masticstage.forwarding.prefix_reports import PrefixReports
 from masticstage.forwarding.published import UpstreamRecord
 from masticstage.forwarding.requests import (
     CallerRequest,
@@ -128,6 +129,7 @@
     loads: LoadTable
     members: MemberTable
     chooser: Chooser
+    prefix_reports: PrefixReports
 
     def add_upstream(self, record: UpstreamRecord) -> None:
         """Adds an upstream to the view of the fleet."""
@@ -150,4 +152,5 @@
     random = Random(1)
     finder = CandidateFinder(clock, random, view, loads, members)
     chooser = Chooser(clock, random, finder, loads)
-    return SimulatedInstance(clock, view, loads, members, chooser)
+    reports = PrefixReports(clock)
+    return SimulatedInstance(clock, view, loads, members, chooser, reports)
