--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -27,7 +27,7 @@
     decode_relay_route,
     encode_updates,
 )
-from masticstage.edges.streaming import IdlePolicy, forward_events, is_reachable
+from masticstage.edges.streaming import IdlePolicy, forward_stream, is_reachable
 from masticstage.exceptions import InvalidRequestError
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.events import EventFramer
@@ -178,7 +178,9 @@
     update_upstream_health(gateway, routed, choice, outcome)
     try:
         idle_policy = _idle_policy(gateway, choice, route)
-        await _forward_answer(gateway, outcome, framer, reply, idle_policy)
+        await _forward_answer(
+            gateway, choice, outcome, framer, reply, idle_policy
+        )
     finally:
         outcome.close()
 
@@ -199,6 +201,7 @@
 
 async def _forward_answer(
     gateway: Gateway,
+    choice: Choice,
     outcome: DispatchOutcome,
     framer: EventFramer,
     reply: Reply,
@@ -212,7 +215,9 @@
         await reply.send_complete(outcome.head.status, headers, outcome.body)
         return
     await reply.start(outcome.head.status, headers, outcome.body)
-    reason = await forward_events(outcome, framer, reply, idle_policy)
+    reason = await forward_stream(
+        gateway, choice, outcome, framer, reply, idle_policy
+    )
     if reason:
         # The connection is closed without the last chunk, so that the sender
         # sees that the stream is incomplete.
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -19,7 +19,7 @@
 from masticstage.edges.streaming import (
     IdlePolicy,
     StreamTimes,
-    forward_events,
+    forward_stream,
     is_reachable,
 )
 from masticstage.exceptions import InvalidRequestError
@@ -311,7 +311,9 @@
             outcome.head.headers,
             outcome.body,
         )
-    reason = await forward_events(
+    reason = await forward_stream(
+        context.gateway,
+        choice,
         outcome,
         context.framer,
         reply,
--- a/src/masticstage/edges/streaming.py
+++ b/src/masticstage/edges/streaming.py
@@ -53,7 +53,27 @@
     on_events: Callable[[], None]
 
 
-async def forward_events(
+async def forward_stream(
+    gateway: Gateway,
+    choice: Choice,
+    outcome: DispatchOutcome,
+    framer: EventFramer,
+    reply: Reply,
+    idle_policy: IdlePolicy,
+) -> str:
+    """Forwards the rest of a stream and records how long it took.
+
+    Returns why it broke, empty if it is complete.
+    """
+    started_s = gateway.elapsed_s()
+    reason = await _forward_events(outcome, framer, reply, idle_policy)
+    if not reason and choice.candidate.via is None:
+        took_s = gateway.elapsed_s() - started_s
+        gateway.views.chooser.record_stream(choice, took_s)
+    return reason
+
+
+async def _forward_events(
     outcome: DispatchOutcome,
     framer: EventFramer,
     reply: Reply,
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -37,8 +37,9 @@
 _PREFILL_TOKENS_PER_S: Final = 60_000
 #: Time to the first event of a short prompt at an idle engine, in seconds.
 _FIRST_EVENT_S: Final = 0.1
-#: Mean time for which a stream occupies a slot, in seconds.
-_MEAN_STREAM_S: Final = 1.0
+#: Assumed time from the first to the last event of a stream before the first
+#: observation, in seconds.
+_DEFAULT_STREAM_S: Final = 0.9
 #: Assumed time of a plain call before the first observation, in seconds.
 _DEFAULT_CALL_S: Final = 0.05
 #: Costs are fractions of the value of a request to its caller.
@@ -134,6 +135,7 @@
     _hit_rates: PrefixHitRates = attrs.field(factory=PrefixHitRates)
     _round_trips_s: dict[str, float] = attrs.field(factory=dict)
     _calls_s: dict[str, float] = attrs.field(factory=dict)
+    _streams_s: dict[str, float] = attrs.field(factory=dict)
 
     def choose(
         self,
@@ -194,6 +196,12 @@
             observed_s = seconds / choice.candidate.state.latency_ratio
             self._calls_s[service] = _moving_average(previous, observed_s)
 
+    def record_stream(self, choice: Choice, seconds: float) -> None:
+        """Records the time from the first to the last event of a stream."""
+        service = choice.candidate.service_config.name
+        previous = self._streams_s.get(service)
+        self._streams_s[service] = _moving_average(previous, seconds)
+
     def record_first_event(
         self,
         choice: Choice,
@@ -392,7 +400,9 @@
                 self._loads.tokens_ahead(state, priority) + uncached_tokens
             )
             serve_s = _FIRST_EVENT_S + backlog_tokens / _PREFILL_TOKENS_PER_S
-            slot_s = _MEAN_STREAM_S
+            slot_s = _FIRST_EVENT_S + self._streams_s.get(
+                candidate.service_config.name, _DEFAULT_STREAM_S
+            )
         wait_s = slot_s * self._requests_ahead(candidate) / candidate.slots
         expected_s = (serve_s + wait_s) * state.latency_ratio
         if candidate.via is None:
--- a/tests/edges/test_streaming.py
+++ b/tests/edges/test_streaming.py
@@ -1,8 +1,21 @@
-"""Tests of the times at which events of a stream are forwarded."""
+"""Tests of forwarding a stream: the times of its events, idle streams."""
 
 from datetime import timedelta
+from itertools import count
 
-from masticstage.edges.streaming import StreamTimes
+import pytest
+import trio
+
+from masticstage.clock import milliseconds
+from masticstage.edges.dispatch import DispatchOutcome
+from masticstage.edges.streaming import (
+    IdlePolicy,
+    StreamTimes,
+    _forward_events,
+)
+from masticstage.forwarding.events import EventFramer
+from masticstage.forwarding.evidence import Evidence
+from tests.edges.deployment import run_with_timeout
 from tests.forwarding_builders import SECOND
 
 
@@ -20,3 +33,70 @@
     times.record(10 * SECOND)
 
     assert times.longest_pause == timedelta()
+
+
+class _Upstream:
+    """A connection that delivers a chunk at regular intervals."""
+
+    def __init__(self, chunks, interval_s):
+        self._chunks = iter(chunks)
+        self._interval_s = interval_s
+
+    async def read_chunk(self):
+        await trio.sleep(self._interval_s)
+        return next(self._chunks)
+
+
+class _Caller:
+    """Receives what is forwarded; takes some sends only after a while."""
+
+    def __init__(self, is_slow=False):
+        self.received = b''
+        self._is_slow = is_slow
+
+    def send_now(self, events):
+        self.received += events
+        return not self._is_slow
+
+    async def flush(self):
+        await trio.sleep(0.15)
+
+
+def _forward(chunks, interval_s, caller):
+    """Forwards a stream with an idle timeout of 0.1 s; returns its end."""
+    reasons = []
+
+    async def may_not_continue():
+        return False
+
+    @run_with_timeout
+    async def run():
+        outcome = DispatchOutcome(
+            Evidence.ANSWERED, 'e-1', connection=_Upstream(chunks, interval_s)
+        )
+        policy = IdlePolicy(
+            lambda: milliseconds(100), may_not_continue, lambda: None
+        )
+        with trio.move_on_after(3):
+            reasons.append(
+                await _forward_events(outcome, EventFramer(), caller, policy)
+            )
+
+    run()
+    return reasons
+
+
+@pytest.mark.parametrize('chunk', [b': ping\n\n', b'data', b':\n'])
+def test_a_stream_without_whole_events_is_idle(chunk):
+    chunks = (chunk for _ in count())
+
+    assert _forward(chunks, 0.02, _Caller()) == ['idle timeout']
+
+
+@pytest.mark.parametrize('is_slow', [True, False])
+def test_a_slow_but_sound_stream_is_forwarded_to_its_end(is_slow):
+    events = [b'id: %d\ndata: x\n\n' % number for number in range(8)]
+    caller = _Caller(is_slow)
+
+    assert _forward([*events, b''], 0.06, caller) == ['']
+    assert caller.received == b''.join(events)
