Learn how long engines take to a first event and to an answer

A slot was taken for free after one second, prefill for 60 tokens/ms at each engine type, and the wait for that of a queue without priorities. Change: FirstEventTimes fits a line over tokens to prefill for each service and learns a factor of the wait for each priority; the time of a stream is learnt for each service.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -464,7 +464,8 @@
         choice.candidate.state.latency_ratio * took_s / choice.expected_s,
     )
     if routed.is_stream:
-        prompt = routed.request.prompt
-        gateway.views.chooser.record_first_event(choice, prompt, took_s)
+        gateway.views.chooser.record_first_event(
+            choice, routed.request, routed.route.priority, took_s
+        )
     else:
         gateway.views.chooser.record_call(choice, took_s)
--- a/src/masticstage/forwarding/candidates.py
+++ b/src/masticstage/forwarding/candidates.py
@@ -46,7 +46,9 @@
     starts. `fetch_from` is the address of an upstream to copy the shared prefix
     from, empty for none. `unverified_tokens` are the tokens of the prefix that
     may or may not be cached, `backlog_tokens` the prompt tokens of other
-    requests that the upstream still has to prefill.
+    requests that the upstream still has to prefill, `tokens_ahead` those of
+    them that come before this one. `queue_s` is the part of `expected_s` for
+    `requests_ahead` before it is corrected by what was learnt.
     """
 
     candidate: Candidate
@@ -57,6 +59,8 @@
     fetch_from: str = ''
     unverified_tokens: int = 0
     backlog_tokens: float = 0
+    tokens_ahead: float = 0
+    queue_s: float = 0
 
     @property
     def upstream(self) -> str:
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -19,6 +19,7 @@
 from masticstage.clock import Clock
 from masticstage.forwarding.candidate_finder import CandidateFinder
 from masticstage.forwarding.candidates import Candidate, Choice
+from masticstage.forwarding.first_events import FirstEventTimes
 from masticstage.forwarding.hits import PrefixHitRates
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.prefix_homes import (
@@ -32,9 +33,6 @@
 from masticstage.forwarding.routes import Route
 from masticstage.forwarding.view import KnownUpstream
 
-#: Prompt tokens that an engine prefills in a second; the latency ratio of each
-#: upstream corrects it.
-_PREFILL_TOKENS_PER_S: Final = 60_000
 #: Time to the first event of a short prompt at an idle engine, in seconds.
 _FIRST_EVENT_S: Final = 0.1
 #: Assumed time from the first to the last event of a stream before the first
@@ -114,6 +112,15 @@
     typical_failure_rate: float
 
 
+@attrs.frozen
+class _Timing:
+    """The predicted time at a candidate; see `Choice` for the fields."""
+
+    expected_s: float
+    tokens_ahead: float
+    queue_s: float
+
+
 def _never_connected(_address: str) -> bool:
     return False
 
@@ -136,6 +143,7 @@
     _round_trips_s: dict[str, float] = attrs.field(factory=dict)
     _calls_s: dict[str, float] = attrs.field(factory=dict)
     _streams_s: dict[str, float] = attrs.field(factory=dict)
+    _first_events: FirstEventTimes = attrs.field(factory=FirstEventTimes)
 
     def choose(
         self,
@@ -205,13 +213,26 @@
     def record_first_event(
         self,
         choice: Choice,
-        prompt: Prompt,
+        request: CallerRequest,
+        priority: int,
         observed_s: float,
     ) -> None:
         """Records the time to the first event of a stream."""
-        prefill_tokens = prompt.own_tokens + choice.unverified_tokens / 2
-        midpoint_s = _FIRST_EVENT_S + prefill_tokens / _PREFILL_TOKENS_PER_S
+        service = choice.candidate.service_config.name
+        prompt = request.prompt
+        midpoint_s = self._first_events.predict_s(
+            service, prompt.own_tokens + choice.unverified_tokens / 2
+        )
         self._hit_rates.record(choice, observed_s, midpoint_s)
+        if choice.unverified_tokens:
+            return
+        prefill_tokens = choice.tokens_ahead + choice.uncached_tokens
+        if choice.queue_s:
+            serve_s = self._first_events.predict_s(service, prefill_tokens)
+            ratio = (observed_s - serve_s) / choice.queue_s
+            self._first_events.record_wait(service, priority, ratio)
+        else:
+            self._first_events.record(service, prefill_tokens, observed_s)
 
     def record_cold_dispatch(self, choice: Choice) -> None:
         """Records the time of a dispatch to a cold upstream."""
@@ -337,11 +358,11 @@
             unverified_tokens
             * self._hit_rates.rate(candidate.service_config.name)
         )
-        expected_s = self._expected_s(
+        timing = self._predict_timing(
             candidate, uncached_tokens, route.priority
         )
         target_s = route.target.total_seconds() or _DEFAULT_TARGET_S
-        cost += _latency_cost(expected_s / target_s)
+        cost += _latency_cost(timing.expected_s / target_s)
         cost += self._failure_cost(
             candidate,
             route,
@@ -350,13 +371,15 @@
         cost += self._transfer_cost(candidate)
         return Choice(
             candidate,
-            expected_s,
+            timing.expected_s,
             cost,
             uncached_tokens,
             self._requests_ahead(candidate),
             fetch_from,
             unverified_tokens,
             self._loads.tokens_ahead(candidate.state, _ALL_PRIORITIES),
+            timing.tokens_ahead,
+            timing.queue_s,
         )
 
     def _missing_cost(
@@ -384,30 +407,38 @@
             return miss_rate * cost + _COPY_COST * missing_share
         return cost
 
-    def _expected_s(
+    def _predict_timing(
         self,
         candidate: Candidate,
         uncached_tokens: int,
         priority: int,
-    ) -> float:
+    ) -> _Timing:
         """Returns the predicted time to the first event or the answer."""
-        state, engine = candidate.state, candidate.service_config.engine
-        if engine is None:
-            serve_s = self.expected_call_s(candidate.service_config.name)
-            slot_s = serve_s
+        service = candidate.service_config.name
+        tokens_ahead = self._loads.tokens_ahead(candidate.state, priority)
+        queue_s = self._queue_s(candidate)
+        if candidate.service_config.engine is None:
+            serve_s = self.expected_call_s(service)
         else:
-            backlog_tokens = (
-                self._loads.tokens_ahead(state, priority) + uncached_tokens
+            serve_s = self._first_events.predict_s(
+                service, tokens_ahead + uncached_tokens
             )
-            serve_s = _FIRST_EVENT_S + backlog_tokens / _PREFILL_TOKENS_PER_S
+        wait_s = queue_s * self._first_events.wait_factor(service, priority)
+        expected_s = (serve_s + wait_s) * candidate.state.latency_ratio
+        if candidate.via is not None:
+            expected_s += self._round_trip_s(candidate.via.region)
+        return _Timing(expected_s, tokens_ahead, queue_s)
+
+    def _queue_s(self, candidate: Candidate) -> float:
+        """Returns the wait for a slot if requests were served in their order."""
+        service = candidate.service_config.name
+        if candidate.service_config.engine is None:
+            slot_s = self.expected_call_s(service)
+        else:
             slot_s = _FIRST_EVENT_S + self._streams_s.get(
-                candidate.service_config.name, _DEFAULT_STREAM_S
+                service, _DEFAULT_STREAM_S
             )
-        wait_s = slot_s * self._requests_ahead(candidate) / candidate.slots
-        expected_s = (serve_s + wait_s) * state.latency_ratio
-        if candidate.via is None:
-            return expected_s
-        return expected_s + self._round_trip_s(candidate.via.region)
+        return slot_s * self._requests_ahead(candidate) / candidate.slots
 
     def _requests_ahead(self, candidate: Candidate) -> int:
         """Returns how many requests have to end before a new one starts."""
