Count a copy of a prefix for what it evicts; report a prefix once in 20 s

Change: a copy counts 0.2 and a new prefill 0.45 of a request, in proportion; reports are repeated after 20 s and sent on three times.

--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -54,11 +54,12 @@
 #: Cost of prefilling a whole prompt again, and what a busy engine adds to it
 #: for the other answers that the prefill delays. Both count in proportion to
 #: the part of the prompt that is missing.
-_PREFILL_COST: Final = 0.3
+_PREFILL_COST: Final = 0.45
 _BUSY_PREFILL_COST: Final = 1.6
-#: Cost of copying a whole prompt from another engine: the price of the
-#: transfer.
-_COPY_COST: Final = 0.05
+#: Cost of copying a whole prompt from another engine: the price of the transfer,
+#: and of the other prefixes that the copy evicts. Histories fit into the memory
+#: of all engines about once.
+_COPY_COST: Final = 0.2
 #: Backlog in prompt tokens at which an engine counts as fully busy: 0.2 s of
 #: prefill.
 _BUSY_BACKLOG_TOKENS: Final = 12_000
@@ -430,7 +431,7 @@
         return _Timing(expected_s, tokens_ahead, queue_s)
 
     def _queue_s(self, candidate: Candidate) -> float:
-        """Returns the wait for a slot if requests were served in their order."""
+        """Returns the wait for a slot in a queue without priorities."""
         service = candidate.service_config.name
         if candidate.service_config.engine is None:
             slot_s = self.expected_call_s(service)
--- a/src/masticstage/forwarding/prefix_reports.py
+++ b/src/masticstage/forwarding/prefix_reports.py
@@ -18,12 +18,12 @@
 #: Shortest prefix that is reported, in tokens; shorter ones are cheap to
 #: prefill again.
 MIN_REPORTED_TOKENS: Final = 1000
-#: Time after which a report that was heard is new again, in seconds: the
-#: upstream may have evicted the prefix in the meantime.
-_REPEAT_AFTER_S: Final = 5.0
+#: Time after which a report that was heard is new again, in seconds: instances
+#: may have dropped it in the meantime, as least recently used.
+_REPEAT_AFTER_S: Final = 20.0
 #: How often a report is sent within the region, and how often its first sender
 #: sends it to other regions.
-_LOCAL_SENDS: Final = 4
+_LOCAL_SENDS: Final = 3
 _REMOTE_SENDS: Final = 4
 #: Reports in one message, and the most that wait to be sent.
 _MAX_IN_MESSAGE: Final = 60
