An instance restarted after its clock was set back is live again

Cause: the number of an incarnation is the time of day at the start. After a stop and a step back of the clock, peers kept the record that was leaving and listed the new process for no caller. Change: an instance that learns of a later incarnation of itself takes a still later one (not with the product's own interface, where an incarnation owns tickets).

--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -100,7 +100,7 @@
         settings.listen.callers,
         gossip_address=settings.listen.gossip,
     )
-    members = MemberTable(clock, member, _GONE_AFTER)
+    members = MemberTable(clock, member, _GONE_AFTER, supersedes_itself=True)
     view = FleetView(clock)
     loads = LoadTable(clock)
     random = Random()  # noqa: S311 (spreads load; not for secrets)
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -56,9 +56,9 @@
 #: the part of the prompt that is missing.
 _PREFILL_COST: Final = 0.45
 _BUSY_PREFILL_COST: Final = 1.6
-#: Cost of copying a whole prompt from another engine: the price of the transfer,
-#: and of the other prefixes that the copy evicts. Histories fit into the memory
-#: of all engines about once.
+#: Cost of copying a whole prompt from another engine: the price of the
+#: transfer, and of the other prefixes that the copy evicts. Histories fit into
+#: the memory of all engines about once.
 _COPY_COST: Final = 0.2
 #: Backlog in prompt tokens at which an engine counts as fully busy: 0.2 s of
 #: prefill.
--- a/src/masticstage/membership.py
+++ b/src/masticstage/membership.py
@@ -85,13 +85,16 @@
     """All known instances, with the records that are still to be sent.
 
     `expected_size` is a lower bound of the fleet size, for the time in which
-    this instance knows only a few others.
+    this instance knows only a few others.  With `supersedes_itself` an instance
+    that learns of a later incarnation of itself takes a still later one: that
+    was its own before a restart, if the time of day was set back since.
     """
 
     _clock: Clock
     _own: Member
     _gone_after: timedelta
     _expected_size: int = 0
+    _supersedes_itself: bool = False
     _entries: dict[str, _Entry] = attrs.field(factory=dict)
 
     @property
@@ -237,7 +240,7 @@
         Returns whether the record was greater.
         """
         if record.identity != self._own.identity:
-            return False
+            return self._supersede(record.identity)
         if record.order <= self._own.order:
             return False
         self._own = attrs.evolve(
@@ -246,6 +249,16 @@
         )
         return True
 
+    def _supersede(self, known: MemberId) -> bool:
+        """Takes an incarnation after a known one, if that is later."""
+        if not self._supersedes_itself:
+            return False
+        if known.incarnation <= self._own.identity.incarnation:
+            return False
+        identity = MemberId(known.name, known.incarnation + 1)
+        self._own = attrs.evolve(self._own, identity=identity)
+        return True
+
     def _set_liveness(self, entry: _Entry, liveness: Liveness) -> Member:
         return self._store(attrs.evolve(entry.member, liveness=liveness))
 
