--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -7,7 +7,8 @@
 import errno
 import re
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Final, final
 
 import attrs
@@ -27,8 +28,10 @@
 #: Time after which unacknowledged data closes a connection (TCP_USER_TIMEOUT):
 #: enough for some round trips between regions with one lost packet.
 _TCP_USER_TIMEOUT_MS: Final = 3000
-#: Largest body that is held whole. Streams are passed on in parts.
-_MAX_BODY_BYTES: Final = 33_554_432
+#: Largest body that is held whole, and the most bytes of all such bodies of a
+#: pool. Streams are passed on in parts.
+_MAX_BODY_BYTES: Final = 4_194_304
+_MAX_HELD_BYTES: Final = 67_108_864
 #: Bytes that would end a line or a field of the head.
 _UNSAFE_IN_FIELD: Final = re.compile(rb'[\r\n\0]')
 _UNSAFE_IN_TARGET: Final = re.compile(rb'[\r\n\0 ]')
@@ -50,6 +53,32 @@
     body: bytes = b''
 
 
+@final
+@attrs.define(eq=False)
+class HeldBodies:
+    """Bytes of the bodies that are being read whole."""
+
+    total_bytes: int = 0
+
+    @contextmanager
+    def count(self) -> Iterator[list[bytes]]:
+        """Yields a list for the chunks of one body, and forgets it after."""
+        chunks: list[bytes] = []
+        try:
+            yield chunks
+        finally:
+            self.total_bytes -= sum(map(len, chunks))
+
+    def add(self, chunks: list[bytes], chunk: bytes) -> bool:
+        """Adds a chunk to a body; False if too much would be held."""
+        self.total_bytes += len(chunk)
+        chunks.append(chunk)
+        return (
+            self.total_bytes <= _MAX_HELD_BYTES
+            and sum(map(len, chunks)) <= _MAX_BODY_BYTES
+        )
+
+
 @final
 @attrs.define(eq=False)
 class Connection:
@@ -58,6 +87,7 @@
     address: str
     _stream: ByteStream
     _clock: Clock
+    _held: HeldBodies = attrs.field(factory=HeldBodies)
     _answer: AnswerParser | None = None
     _last_answer_at_s: float = 0
     _pending_writes: int = 0
@@ -108,16 +138,13 @@
 
     async def read_body(self) -> bytes:
         """Reads the body to its end."""
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            chunk = await self.read_chunk()
-            if not chunk:
-                return b''.join(chunks)
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > _MAX_BODY_BYTES:
-                raise self._broken_connection('body without end')
+        with self._held.count() as chunks:
+            while True:
+                chunk = await self.read_chunk()
+                if not chunk:
+                    return b''.join(chunks)
+                if not self._held.add(chunks, chunk):
+                    raise self._broken_connection('body without end')
 
     def prepare_reuse(self) -> bool:
         """Prepares for another request; returns False if that is not safe.
@@ -193,8 +220,13 @@
     return b''.join(pieces)
 
 
-async def connect(address: str, timeout_s: float, clock: Clock) -> Connection:
-    """Opens a connection to `host:port`.
+async def connect(
+    address: str,
+    timeout_s: float,
+    clock: Clock,
+    held: HeldBodies | None = None,
+) -> Connection:
+    """Opens a connection to `host:port`; `held` counts the bodies of several.
 
     Raises ConnectError on failure; nothing has been sent then.
     """
@@ -215,7 +247,12 @@
         socket.TCP_USER_TIMEOUT,
         _TCP_USER_TIMEOUT_MS,
     )
-    return Connection(address, ByteStream.take_over(stream), clock)
+    return Connection(
+        address,
+        ByteStream.take_over(stream),
+        clock,
+        held or HeldBodies(),
+    )
 
 
 def _error_name(error: Exception) -> str:
@@ -237,6 +274,7 @@
     _connect_timeout_s: float
     _max_idle_s: float
     _idle: dict[str, list[Connection]] = attrs.field(factory=dict)
+    _held: HeldBodies = attrs.field(factory=HeldBodies)
     opened: int = 0
 
     async def acquire(self, address: str, max_idle_s: float) -> Connection:
@@ -252,7 +290,9 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await connect(address, self._connect_timeout_s, self._clock)
+        return await connect(
+            address, self._connect_timeout_s, self._clock, self._held
+        )
 
     def has_idle(self, address: str) -> bool:
         """Returns whether a connection to an address may be reused now."""
--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -6,6 +6,7 @@
 
 from masticstage.edges.gateway import Gateway
 from masticstage.exceptions import HistoryLostError, PlatformUnavailableError
+from masticstage.forwarding.read_pauses import batch_pause_s
 from masticstage.forwarding.record_cache import RecordEvent, RecordUpdates
 
 #: Duration of one watch call (long poll); each call has a price. A call on a
@@ -14,10 +15,6 @@
 #: force 3 s after its acknowledgement. The bound holds again 5 s after the
 #: connections went dead.
 WATCH_TIMEOUT_S: Final = 5.0
-#: Pause after a watch that returned changes, so that the next changes of a
-#: start or a release arrive in one batch. Gossip spreads the records of one
-#: instance to the others within half a second.
-BATCH_PAUSE_S: Final = 1.0
 #: Pause after a failed call, since all instances share the platform's rate
 #: limit.
 RETRY_PAUSE_S: Final = 0.4
@@ -103,7 +100,7 @@
         gateway.log.record('platform_recovered', revision=updates.revision)
     apply_updates(gateway, updates, 'platform', is_reliable=True)
     if updates.events:
-        await trio.sleep(BATCH_PAUSE_S)
+        await trio.sleep(batch_pause_s(gateway.live_count()))
     return True
 
 
--- a/tests/edges/test_http_client.py
+++ b/tests/edges/test_http_client.py
@@ -101,6 +101,42 @@
     check()
 
 
+def test_endless_bodies_are_bounded_in_sum(monkeypatch):
+    """A hundred upstreams send bodies that never end at the same time."""
+    monkeypatch.setattr(
+        'masticstage.edges.http_client._MAX_HELD_BYTES', 999_000
+    )
+    largest = []
+
+    async def answer(stream):
+        await stream.receive_some()
+        with suppress(trio.BrokenResourceError):
+            await stream.send_all(b'HTTP/1.1 200 OK\r\n\r\n')
+            while True:
+                await stream.send_all(bytes(10_000))
+
+    @run_with_timeout
+    async def check():
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, answer, 0)
+            port = listeners[0].socket.getsockname()[1]
+            pool, address = _pool(), f'127.0.0.1:{port}'
+
+            async def fail():
+                with pytest.raises(BrokenConnectionError):
+                    await _request(pool, address)
+                largest.append(pool._held.total_bytes)
+
+            async with trio.open_nursery() as requests:
+                for _ in range(100):
+                    requests.start_soon(fail)
+            assert not pool._held.total_bytes
+            nursery.cancel_scope.cancel()
+
+    check()
+    assert max(largest) < 999_000 + 65_536 * 2
+
+
 @given(
     name=st.binary(min_size=1, max_size=8),
     field=st.binary(max_size=8),
