Contradictory counts of tokens in a caller's header stop no exchange

Change: counts that make no sense leave the prompt out, own tokens are never negative, packed counts are bounded; tests first (each failed). Result: tests only.

--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -24,6 +24,7 @@
 _TENTHS: Final = 10
 #: Ids of prompt parts are hexadecimal. The messages hold their last 64 bits.
 _HEX_BASE: Final = 16
+_MAX_UINT32: Final = 0xFFFFFFFF
 _MAX_ID: Final = 0xFFFFFFFFFFFFFFFF
 
 
@@ -51,13 +52,19 @@
     priorities = sorted({priority for by in pending for priority in by})
     return pb.PackedLoads(
         upstreams=[hash_name(load.upstream) for load in loads],
-        in_flight=[load.in_flight for load in loads],
+        in_flight=[_to_uint32(load.in_flight) for load in loads],
         priorities=priorities,
         tokens=[
-            by.get(priority, 0) for by in pending for priority in priorities
+            _to_uint32(by.get(priority, 0))
+            for by in pending
+            for priority in priorities
+        ],
+        tenths_failed=[
+            _to_uint32(_TENTHS * load.outcomes.failed) for load in loads
+        ],
+        tenths_total=[
+            _to_uint32(_TENTHS * load.outcomes.total) for load in loads
         ],
-        tenths_failed=[round(_TENTHS * load.outcomes.failed) for load in loads],
-        tenths_total=[round(_TENTHS * load.outcomes.total) for load in loads],
     )
 
 
@@ -96,6 +103,11 @@
     return xxhash.xxh32_intdigest(upstream.encode())
 
 
+def _to_uint32(count: float) -> int:
+    """Returns the nearest number that fits; others would fail to encode."""
+    return min(max(round(count), 0), _MAX_UINT32)
+
+
 def _rows(tokens: Sequence[int], width: int, count: int) -> list[Sequence[int]]:
     if len(tokens) != width * count:
         raise ValueError('a number of tokens for each upstream and priority')
@@ -108,7 +120,7 @@
     return pb.PrefixReport(
         upstream=hash_name(report.upstream),
         parts=[int(part.part_id, _HEX_BASE) & _MAX_ID for part in report.parts],
-        tokens=[part.tokens for part in report.parts],
+        tokens=[_to_uint32(part.tokens) for part in report.parts],
     )
 
 
--- a/src/masticstage/forwarding/requests.py
+++ b/src/masticstage/forwarding/requests.py
@@ -49,8 +49,9 @@
 
     @cached_property
     def own_tokens(self) -> int:
-        """Prompt tokens after the shared prefix."""
-        return self.tokens_in - sum(part.tokens for part in self.shared_prefix)
+        """Prompt tokens after the shared prefix, 0 if counts contradict it."""
+        shared = sum(part.tokens for part in self.shared_prefix)
+        return max(0, self.tokens_in - shared)
 
 
 NO_PROMPT = Prompt((), 0, 0)
--- a/src/masticstage/platform/callers.py
+++ b/src/masticstage/platform/callers.py
@@ -1,6 +1,7 @@
 """Decodes requests and queries of callers and encodes the answers to them."""
 
 import json
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import Final
 from urllib.parse import parse_qs
@@ -23,6 +24,8 @@
 #: seconds, so that callers soon stop using an instance that was lost.
 _ENTRIES_TTL_S: Final = 1
 _HEX_BASE: Final = 16
+#: Largest count of tokens that is believed.
+_MAX_TOKENS: Final = 1_000_000_000
 
 
 def read_request(raw: RawRequest) -> CallerRequest:
@@ -114,6 +117,7 @@
     try:
         tokens_in, tokens_out = (int(count) for count in counts.split(b','))
         parts = _read_prompt_parts(fields.get(names.PROMPT_PREFIX, b''))
+        _check_counts((tokens_in, tokens_out, *(part.tokens for part in parts)))
     except ValueError:
         # The prompt is only used for placement; the upstream validates the
         # header itself.
@@ -121,6 +125,11 @@
     return Prompt(parts, tokens_in, tokens_out)
 
 
+def _check_counts(counts: Iterable[int]) -> None:
+    if any(not 0 <= count <= _MAX_TOKENS for count in counts):
+        raise ValueError('counts of tokens')
+
+
 def _read_prompt_parts(field: bytes) -> tuple[PromptPart, ...]:
     entries = [entry.strip() for entry in field.split(b',') if entry.strip()]
     parts = []
--- a/tests/edges/test_messages.py
+++ b/tests/edges/test_messages.py
@@ -25,7 +25,7 @@
         SharedLoad,
         st.text('abc', min_size=1),
         _COUNTS,
-        st.dictionaries(st.integers(0, 9), _COUNTS).map(
+        st.dictionaries(st.integers(-9, 9), _COUNTS).map(
             lambda by: tuple(sorted(by.items())),
         ),
         st.builds(Outcomes, st.integers(0, 99), st.integers(0, 99)),
@@ -59,6 +59,16 @@
     assert [decode_load(encode_load(load)) for load in loads] == loads
 
 
+@given(st.integers(max_value=2**40), st.integers(max_value=2**40))
+def test_counts_out_of_range_are_sent_as_the_nearest_ones(in_flight, tokens):
+    load = SharedLoad('a', in_flight, ((0, tokens),))
+
+    unpacked = unpack_loads(pack_loads([load]), _names([load]))
+
+    assert unpacked[0].in_flight == min(max(in_flight, 0), 2**32 - 1)
+    assert unpacked[0].pending_tokens[0][1] == min(max(tokens, 0), 2**32 - 1)
+
+
 def test_packed_loads_take_a_third_of_the_bytes():
     loads = [
         SharedLoad(
--- a/tests/forwarding/test_prompts.py
+++ b/tests/forwarding/test_prompts.py
@@ -28,3 +28,14 @@
     cache.record_prefill(build_prompt('c3'))
     assert cache.uncached_tokens(build_prompt('a1')) == 500
     assert cache.uncached_tokens(build_prompt('b2')) == 13_500
+
+
+def test_counts_that_contradict_each_other_leave_no_negative_tokens():
+    """A caller's header may give fewer tokens than its parts have."""
+    parts = (PromptPart('a1', 5000), PromptPart('c', 10))
+    prompt = Prompt(parts, 100, 5)
+    cache = PromptCache.of_memory(40_000)
+    cache.record_prefill(prompt)
+
+    assert not prompt.own_tokens
+    assert not cache.uncached_tokens(prompt)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -87,3 +87,19 @@
 def test_a_list_of_entries_is_encoded():
     answer = callers.write_entries(('10.1.0.35:8144',))
     assert json.loads(answer.body)['Addresses'] == ['10.1.0.35:8144']
+
+
+@pytest.mark.parametrize(
+    'header',
+    [
+        (b'x-token-counts', b'-1,80'),
+        (b'x-token-counts', b'1460,-80'),
+        (b'x-token-counts', b'99999999999,80'),
+        (b'x-prompt-prefix', b'5c1e07a2:-800,91bd3f06:410'),
+        (b'x-prompt-prefix', b'5c1e07a2:99999999999,91bd3f06:410'),
+    ],
+)
+def test_counts_that_make_no_sense_leave_the_prompt_out(header):
+    request = _read(*_HEADERS, header)
+
+    assert request.prompt == NO_PROMPT
