--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -99,6 +99,7 @@
         settings.listen.peers,
         settings.listen.callers,
         gossip_address=settings.listen.gossip,
+        takes_compressed=True,
     )
     members = MemberTable(clock, member, _GONE_AFTER, supersedes_itself=True)
     view = FleetView(clock)
--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -304,6 +304,7 @@
         routed.tried,
         routed.route,
         options,
+        is_compressed=choice.candidate.via.takes_compressed,
     )
     return OutgoingRequest(
         b'POST',
--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -8,6 +8,7 @@
 
 from masticstage import peer_pb2 as pb
 from masticstage.clock import milliseconds
+from masticstage.edges.compression import compress, decompress
 from masticstage.forwarding.health import Outcomes
 from masticstage.forwarding.loads import SharedLoad
 from masticstage.forwarding.prefix_reports import PrefixReport
@@ -182,8 +183,11 @@
     tried: Iterable[str],
     route: Route,
     options: DispatchOptions,
+    *,
+    is_compressed: bool,
 ) -> pb.RoutedRelay:
     """Returns the message that relays a request to another region."""
+    compressed = compress(request.body) if is_compressed else b''
     return pb.RoutedRelay(
         method=request.method,
         target=request.target,
@@ -191,7 +195,8 @@
             pb.RawHeader(name=name, value=text)
             for name, text in request.headers
         ],
-        body=request.body,
+        body=b'' if compressed else request.body,
+        compressed_body=compressed,
         remaining_ms=options.remaining // timedelta(milliseconds=1),
         service=service,
         upstream=options.upstream,
@@ -227,11 +232,15 @@
     message: pb.RoutedRelay,
     arrived: timedelta,
 ) -> RawRequest:
-    """Returns the caller's request as the sender of the relay received it."""
+    """Returns the caller's request as the sender of the relay received it.
+
+    Raises InvalidRequestError if its body cannot be decompressed.
+    """
+    is_compressed = bool(message.compressed_body)
     return RawRequest(
         message.method,
         message.target,
         tuple((header.name, header.value) for header in message.headers),
-        message.body,
+        decompress(message.compressed_body) if is_compressed else message.body,
         arrived,
     )
--- a/src/masticstage/member_messages.py
+++ b/src/masticstage/member_messages.py
@@ -18,6 +18,7 @@
         liveness=pb.Liveness.ValueType(member.liveness.value),
         heartbeat=member.heartbeat,
         gossip_address=member.gossip_address,
+        takes_compressed=member.takes_compressed,
     )
 
 
@@ -32,4 +33,5 @@
         Liveness(record.liveness),
         record.heartbeat,
         record.gossip_address,
+        record.takes_compressed,
     )
--- a/src/masticstage/membership.py
+++ b/src/masticstage/membership.py
@@ -48,6 +48,8 @@
     """Record of an instance, as exchanged by gossip.
 
     `gossip_address` takes datagrams; it is empty if the instance takes none.
+    `takes_compressed` tells whether relays to it may be compressed, which older
+    programs cannot read.
     """
 
     identity: MemberId
@@ -58,6 +60,7 @@
     liveness: Liveness = Liveness.LIVE
     heartbeat: int = 0
     gossip_address: str = ''
+    takes_compressed: bool = False
 
     @property
     def order(self) -> tuple[int, bool, int, Liveness]:
