Copy prefixes from engines that are leaving or evacuated

Change: leaving and evacuated engines that are not suspected are sources if no engine in use is known to hold the prefix, within the route's homes. They get no request.

--- a/src/masticstage/forwarding/candidate_finder.py
+++ b/src/masticstage/forwarding/candidate_finder.py
@@ -59,6 +59,21 @@
                     via,
                 )
 
+    def copy_sources(self, route: Route, service: str) -> Iterator[Candidate]:
+        """Yields engines that get no requests but may hold prefixes.
+
+        These are the leaving and evacuated ones, within the route's homes.
+        """
+        service_config = self._view.service_config(service)
+        if service_config is None or service_config.engine is None:
+            return
+        for upstream in self._view.emptied_of(service):
+            state = self._state(upstream, service_config)
+            if route.allows(upstream.record.region) and not (
+                state.health.is_suspected
+            ):
+                yield Candidate(upstream, service_config, state, None)
+
     def _is_usable(
         self,
         upstream: KnownUpstream,
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -266,7 +266,12 @@
         The source of the prefix is always in the sample if it is allowed. It is
         looked up among all `candidates`, since others can copy from it.
         """
-        source = find_prefix_source(request.prompt, candidates)
+        if not candidates:
+            return []
+        emptied = self._finder.copy_sources(
+            route, candidates[0].service_config.name
+        )
+        source = find_prefix_source(request.prompt, candidates, emptied)
         untried = [
             allowed_candidate
             for allowed_candidate in allowed
--- a/src/masticstage/forwarding/prefix_homes.py
+++ b/src/masticstage/forwarding/prefix_homes.py
@@ -5,7 +5,7 @@
 prefilled at a second engine because another instance handles the request.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 import xxhash
@@ -35,12 +35,14 @@
 def find_prefix_source(
     prompt: Prompt,
     candidates: Sequence[Candidate],
+    emptied: Iterable[Candidate] = (),
 ) -> Candidate | None:
-    """Returns the candidate that holds the shared prefix of a prompt.
+    """Returns the engine that holds the shared prefix of a prompt.
 
     That is the home if it is known to hold the prefix, otherwise a candidate
-    that is known to, in this region if there is one, otherwise the home. None
-    for a prefix that is too short to matter.
+    that is known to, in this region if there is one, otherwise one of the
+    `emptied` engines that is known to, otherwise the home. None for a prefix
+    that is too short to matter.
     """
     if sum(part.tokens for part in prompt.shared_prefix) < _MIN_COPY_TOKENS:
         return None
@@ -48,13 +50,14 @@
     if home is None or holds_prefix(home, prompt):
         return home
     holders = find_holders(prompt, candidates)
-    nearby = [holder for holder in holders if holder.via is None]
-    return next(iter((*nearby, *holders)), home)
+    if not holders:
+        return next(iter(find_holders(prompt, emptied)), home)
+    return next((near for near in holders if near.via is None), holders[0])
 
 
 def find_holders(
     prompt: Prompt,
-    candidates: Sequence[Candidate],
+    candidates: Iterable[Candidate],
 ) -> list[Candidate]:
     """Returns the candidates that are known to hold the whole prefix."""
     return [
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -116,6 +116,19 @@
             if upstream.record.service == service
         ]
 
+    def emptied_of(self, service: str) -> list[KnownUpstream]:
+        """Returns the upstreams of a service that are leaving or evacuated.
+
+        They get no new requests, but engines may copy prefixes from them.
+        """
+        usable = {upstream.record.name for upstream in self._usable()}
+        return [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.record.service == service
+            and upstream.record.name not in usable
+        ]
+
     def find(self, name: str) -> KnownUpstream | None:
         """Returns an upstream that may get new requests, by name."""
         usable = self._usable()
