--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -25,6 +25,7 @@
 from masticstage.forwarding.overload import OverloadControl
 from masticstage.forwarding.prefix_reports import PrefixReports
 from masticstage.forwarding.record_cache import RecordCache
+from masticstage.forwarding.sampling import CandidateSampler
 from masticstage.forwarding.view import FleetView
 from masticstage.membership import Member, MemberId, MemberTable
 from masticstage.metrics import Metrics
@@ -117,7 +118,7 @@
         OutageTracker(clock),
         members,
         loads,
-        Chooser(clock, random, finder, loads, is_connected),
+        Chooser(clock, CandidateSampler(random, is_connected), finder, loads),
         Quarantine(clock),
         RetryBudget(clock, bounds, 2 * len(settings.places)),
         OverloadControl(clock),
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -7,10 +7,9 @@
 repeated prefill, traffic between regions, and failures.
 """
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Collection, Sequence
 from datetime import timedelta
 from math import exp
-from random import Random
 from statistics import median_low
 from typing import Final, final
 
@@ -24,13 +23,13 @@
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.prefix_homes import (
     can_copy,
-    find_holders,
     find_prefix_source,
     holds_prefix,
     plan_fetch,
 )
 from masticstage.forwarding.requests import CallerRequest, Prompt
 from masticstage.forwarding.routes import Route
+from masticstage.forwarding.sampling import CandidateSampler
 from masticstage.forwarding.view import KnownUpstream
 
 #: Time to the first event of a short prompt at an idle engine, in seconds.
@@ -72,15 +71,6 @@
 _CROSS_DATA_CENTRE_COST: Final = 0.025
 #: Cost of a new connection: it takes a millisecond, part of it at the upstream.
 _CONNECT_COST: Final = 0.01
-#: Candidates compared in this region and elsewhere, in addition to the one that
-#: holds the prefix. Comparing all of 45 upstreams takes 3 ms, and all instances
-#: with the same view would choose the same upstream.
-_LOCAL_SAMPLE: Final = 6
-#: How many of the local ones are those with an open connection, if there are.
-_CONNECTED_SAMPLE: Final = 3
-#: How many candidates that are known to hold the prefix are compared as well.
-_HOLDERS_SAMPLE: Final = 4
-_REMOTE_SAMPLE: Final = 4
 #: Cost of a failure that ends a request, and of one that is retried.
 _FAILURE_COST: Final = 1.0
 _RETRY_COST: Final = 0.35
@@ -122,24 +112,18 @@
     queue_s: float
 
 
-def _never_connected(_address: str) -> bool:
-    return False
-
-
 @final
 @attrs.define
 class Chooser:
     """Chooses the candidate with the lowest predicted cost.
 
-    The prediction uses moving averages of observed delays. `is_connected`
-    returns whether a connection to an address is open and unused.
+    The prediction uses moving averages of observed delays.
     """
 
     _clock: Clock
-    _random: Random
+    _sampler: CandidateSampler
     _finder: CandidateFinder
     _loads: LoadTable
-    _is_connected: Callable[[str], bool] = _never_connected
     _hit_rates: PrefixHitRates = attrs.field(factory=PrefixHitRates)
     _round_trips_s: dict[str, float] = attrs.field(factory=dict)
     _calls_s: dict[str, float] = attrs.field(factory=dict)
@@ -277,62 +261,13 @@
             for allowed_candidate in allowed
             if allowed_candidate.name not in tried
         ]
-        preferred = [source] if source else []
-        if source:
-            holders = find_holders(request.prompt, untried)
-            count = min(len(holders), _HOLDERS_SAMPLE)
-            preferred.extend(self._random.sample(holders, count))
-        sampled = self._sample(untried, preferred)
+        sampled = self._sampler.draw(untried, request.prompt, source)
         comparison = _Comparison(source, self._typical_failure_rate(sampled))
         return [
             self._predict(candidate, request, route, comparison)
             for candidate in sampled
         ]
 
-    def _sample(
-        self,
-        candidates: Sequence[Candidate],
-        preferred: Sequence[Candidate],
-    ) -> list[Candidate]:
-        """Returns a sample of local and remote candidates.
-
-        It includes the preferred ones, as far as they are candidates.
-        """
-        local = self._sample_local(
-            [candidate for candidate in candidates if candidate.via is None]
-        )
-        remote = [
-            candidate for candidate in candidates if candidate.via is not None
-        ]
-        sampled = [
-            *local,
-            *self._random.sample(remote, min(len(remote), _REMOTE_SAMPLE)),
-        ]
-        names = {candidate.name for candidate in sampled}
-        allowed = {candidate.name for candidate in candidates}
-        for candidate in preferred:
-            if candidate.name in allowed - names:
-                sampled.append(candidate)
-                names.add(candidate.name)
-        return sampled
-
-    def _sample_local(self, candidates: list[Candidate]) -> list[Candidate]:
-        """Returns a sample, with some that have an open connection."""
-        self._random.shuffle(candidates)
-        connected = [
-            candidate
-            for candidate in candidates
-            if self._has_connection(candidate)
-        ][:_CONNECTED_SAMPLE]
-        names = {candidate.name for candidate in connected}
-        others = [
-            candidate for candidate in candidates if candidate.name not in names
-        ]
-        return [*connected, *others][:_LOCAL_SAMPLE]
-
-    def _has_connection(self, candidate: Candidate) -> bool:
-        return self._is_connected(candidate.known_upstream.record.address)
-
     def _predict(
         self,
         candidate: Candidate,
@@ -455,7 +390,7 @@
         """Returns the cost of a connection and of traffic to a candidate."""
         if candidate.via is not None:
             return _CROSS_REGION_COST
-        cost = 0 if self._has_connection(candidate) else _CONNECT_COST
+        cost = 0 if self._sampler.has_connection(candidate) else _CONNECT_COST
         if not self._finder.is_in_own_data_centre(candidate):
             cost += _CROSS_DATA_CENTRE_COST
         return cost
--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -25,6 +25,7 @@
     ServiceConfig,
     Share,
 )
+from masticstage.forwarding.sampling import CandidateSampler
 from masticstage.forwarding.view import FleetView
 from masticstage.membership import Member, MemberId, MemberTable
 
@@ -151,6 +152,6 @@
     view.apply('c', build_table())
     random = Random(1)
     finder = CandidateFinder(clock, random, view, loads, members)
-    chooser = Chooser(clock, random, finder, loads)
+    chooser = Chooser(clock, CandidateSampler(random), finder, loads)
     reports = PrefixReports(clock)
     return SimulatedInstance(clock, view, loads, members, chooser, reports)
--- a/tests/patterns/test_many_instances.py
+++ b/tests/patterns/test_many_instances.py
@@ -12,6 +12,7 @@
 from masticstage.clock import ManualClock
 from masticstage.forwarding.loads import LoadTable, SharedLoad
 from masticstage.forwarding.partners import PartnerCycle
+from masticstage.forwarding.sampling import CandidateSampler
 from tests.forwarding_builders import (
     SECOND,
     build_member,
@@ -201,10 +202,8 @@
         address = f'10.0.0.{number}:80'
         instance.add_upstream(build_record(f'e{number}', address=address))
     connected = {'10.0.0.3:80', '10.0.0.9:80'}
-    chooser = attrs.evolve(
-        instance.chooser,
-        is_connected=lambda address: address in connected,
-    )
+    sampler = CandidateSampler(Random(1), lambda address: address in connected)
+    chooser = attrs.evolve(instance.chooser, sampler=sampler)
 
     def choose():
         choice = chooser.choose(build_request(), build_route(), 'shop')
