Tests of the client share one server; small clean-ups

Three tests of the client stood up the same server, two the same endless answer; the record of a first event took a request for its prompt; a constant was public without a user, another not Final. Change: _serving and _answer_without_end in the tests, the prompt is handed over, names. Assertions and behaviour are as before.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -466,7 +466,7 @@
     )
     if routed.is_stream:
         gateway.views.chooser.record_first_event(
-            choice, routed.request, routed.route.priority, took_s
+            choice, routed.request.prompt, routed.route.priority, took_s
         )
     else:
         gateway.views.chooser.record_call(choice, took_s)
--- a/src/masticstage/edges/exchange.py
+++ b/src/masticstage/edges/exchange.py
@@ -1,6 +1,7 @@
 """The message in which two instances tell each other their views."""
 
 from collections.abc import Mapping
+from typing import Final
 
 from masticstage import peer_pb2 as pb
 from masticstage.edges.gateway import Gateway
@@ -18,7 +19,7 @@
 from masticstage.membership import Liveness, Member
 
 #: Member records passed on in one message.
-_MAX_CHANGES = 16
+_MAX_CHANGES: Final = 16
 
 
 def compose_message(
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -198,13 +198,12 @@
     def record_first_event(
         self,
         choice: Choice,
-        request: CallerRequest,
+        prompt: Prompt,
         priority: int,
         observed_s: float,
     ) -> None:
         """Records the time to the first event of a stream."""
         service = choice.candidate.service_config.name
-        prompt = request.prompt
         midpoint_s = self._first_events.predict_s(
             service, prompt.own_tokens + choice.unverified_tokens / 2
         )
--- a/src/masticstage/forwarding/prefix_reports.py
+++ b/src/masticstage/forwarding/prefix_reports.py
@@ -17,7 +17,7 @@
 
 #: Shortest prefix that is reported, in tokens; shorter ones are cheap to
 #: prefill again.
-MIN_REPORTED_TOKENS: Final = 1000
+_MIN_REPORTED_TOKENS: Final = 1000
 #: Time after which a report that was heard is new again, in seconds: instances
 #: may have dropped it in the meantime, as least recently used.
 _REPEAT_AFTER_S: Final = 20.0
@@ -80,7 +80,7 @@
 
     def observe(self, upstream: str, parts: tuple[PromptPart, ...]) -> None:
         """Reports that this instance saw an upstream prefill a prefix."""
-        if sum(part.tokens for part in parts) < MIN_REPORTED_TOKENS:
+        if sum(part.tokens for part in parts) < _MIN_REPORTED_TOKENS:
             return
         report = PrefixReport(upstream, parts)
         if self._hear(report):
--- a/tests/edges/test_http_client.py
+++ b/tests/edges/test_http_client.py
@@ -1,7 +1,7 @@
 """Tests of sending requests, over real sockets and without."""
 
 import socket
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 import trio
@@ -35,6 +35,24 @@
     return body
 
 
+@asynccontextmanager
+async def _serving(respond):
+    """Serves connections on loopback; yields the address."""
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, respond, 0)
+        port = listeners[0].socket.getsockname()[1]
+        yield f'127.0.0.1:{port}'
+        nursery.cancel_scope.cancel()
+
+
+async def _answer_without_end(stream):
+    await stream.receive_some()
+    with suppress(trio.BrokenResourceError):
+        await stream.send_all(b'HTTP/1.1 200 OK\r\n\r\n')
+        while True:
+            await stream.send_all(bytes(10_000))
+
+
 def _pool():
     return ConnectionPool(SystemClock(), 1, 60)
 
@@ -66,14 +84,11 @@
 
     @run_with_timeout
     async def check():
-        async with trio.open_nursery() as nursery:
-            listeners = await nursery.start(trio.serve_tcp, serve_next, 0)
-            port = listeners[0].socket.getsockname()[1]
-            pool, address = _pool(), f'127.0.0.1:{port}'
+        pool = _pool()
+        async with _serving(serve_next) as address:
             assert await _request(pool, address) == b'1'
             await trio.sleep(0.1)
             assert await _request(pool, address) == b'2'
-            nursery.cancel_scope.cancel()
 
     check()
 
@@ -83,20 +98,11 @@
         'masticstage.edges.http_client._MAX_BODY_BYTES', 100_000
     )
 
-    async def answer(stream):
-        await stream.receive_some()
-        await stream.send_all(b'HTTP/1.1 200 OK\r\n\r\n')
-        while True:
-            await stream.send_all(bytes(10_000))
-
     @run_with_timeout
     async def check():
-        async with trio.open_nursery() as nursery:
-            listeners = await nursery.start(trio.serve_tcp, answer, 0)
-            port = listeners[0].socket.getsockname()[1]
+        async with _serving(_answer_without_end) as address:
             with pytest.raises(BrokenConnectionError):
-                await _request(_pool(), f'127.0.0.1:{port}')
-            nursery.cancel_scope.cancel()
+                await _request(_pool(), address)
 
     check()
 
@@ -108,30 +114,20 @@
     )
     largest = []
 
-    async def answer(stream):
-        await stream.receive_some()
-        with suppress(trio.BrokenResourceError):
-            await stream.send_all(b'HTTP/1.1 200 OK\r\n\r\n')
-            while True:
-                await stream.send_all(bytes(10_000))
-
     @run_with_timeout
     async def check():
-        async with trio.open_nursery() as nursery:
-            listeners = await nursery.start(trio.serve_tcp, answer, 0)
-            port = listeners[0].socket.getsockname()[1]
-            pool, address = _pool(), f'127.0.0.1:{port}'
+        pool = _pool()
 
-            async def fail():
-                with pytest.raises(BrokenConnectionError):
-                    await _request(pool, address)
-                largest.append(pool._held.total_bytes)
+        async def fail(address):
+            with pytest.raises(BrokenConnectionError):
+                await _request(pool, address)
+            largest.append(pool._held.total_bytes)
 
+        async with _serving(_answer_without_end) as address:
             async with trio.open_nursery() as requests:
                 for _ in range(100):
-                    requests.start_soon(fail)
+                    requests.start_soon(fail, address)
             assert not pool._held.total_bytes
-            nursery.cancel_scope.cancel()
 
     check()
     assert max(largest) < 999_000 + 65_536 * 2
--- a/tests/patterns/test_engines_of_other_speed.py
+++ b/tests/patterns/test_engines_of_other_speed.py
@@ -42,7 +42,7 @@
         observed_s = _first_event_s(
             choice.uncached_tokens, tokens_per_s, random
         )
-        chooser.record_first_event(choice, request, 0, observed_s)
+        chooser.record_first_event(choice, request.prompt, 0, observed_s)
     request = _build_request(own_tokens)
     return chooser.choose(request, route, 'model').expected_s
 
--- a/tests/patterns/test_unseen_hits.py
+++ b/tests/patterns/test_unseen_hits.py
@@ -38,7 +38,7 @@
     for history in range(1, 40):
         choice = _choose(instance, history)
         instance.chooser.record_first_event(
-            choice, build_request(prompt=build_prompt()), 0, first_event_s
+            choice, build_prompt(), 0, first_event_s
         )
 
 
@@ -71,7 +71,7 @@
     ):
         for _ in range(20):
             instance.chooser.record_first_event(
-                ambiguous, build_request(prompt=build_prompt()), 0, _HIT_S
+                ambiguous, build_prompt(), 0, _HIT_S
             )
 
     assert _choose(instance, 99).expected_s == choice.expected_s
