--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -34,8 +34,9 @@
 #: Bounds of the site vrtni-kutak, in seconds.
 CONTACT_S = 5.0
 DRAIN_S = 3.0
-EVACUATE_S = 5.0
-CONFIG_APPLY_S = 3.0
+#: `HeartbeatMs` of the settings, in seconds. The store removes an entry after
+#: three heartbeat intervals of silence.
+HEARTBEAT_S = 1.2
 
 
 def free_ports(count):
@@ -254,8 +255,10 @@
         self.arrivals = []
         self._record = record
         self._server = None
+        self._writers = set()
         self.slots = 6
         self.running = 0
+        self.is_leaving = False
 
     def entry(self, state='ready', cold_ms=0):
         """Returns its record in the store."""
@@ -277,11 +280,14 @@
         self._server = await asyncio.start_server(self.serve, host, int(port))
 
     def stop(self):
-        """Closes its port."""
+        """Ends: closes its port and its connections."""
         self._server.close()
+        for writer in self._writers:
+            writer.close()
 
     async def serve(self, reader, writer):
         """Serves one connection."""
+        self._writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -290,17 +296,26 @@
                 answer = await self._respond(*message)
                 writer.write(answer)
                 await writer.drain()
+                if self.is_leaving:
+                    return
         except (ConnectionError, asyncio.IncompleteReadError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
+    def _closing(self):
+        """Returns the header that a replica sends while it is leaving."""
+        return [('Connection', 'close')] if self.is_leaving else []
+
     async def _respond(self, line, headers, _body):
         path = line.split(' ')[1]
         if path == '/health':
-            return encode_answer(200, [('X-Instance-Id', self.name)])
+            status = 503 if self.is_leaving else 200
+            own = [('X-Instance-Id', self.name), *self._closing()]
+            return encode_answer(status, own)
         request_id = headers['x-request-id']
-        echo = [('X-Request-Id', request_id)]
+        echo = [('X-Request-Id', request_id), *self._closing()]
         if headers.get('x-target-instance', self.name) != self.name:
             return encode_answer(421, echo)
         self.arrivals.append((self._record.now(), request_id))
@@ -310,7 +325,8 @@
         self.running -= 1
         load = f'{self.running},0,{self.slots}'
         signed = [
-            *echo,
+            ('X-Request-Id', request_id),
+            *self._closing(),
             ('X-Response-Signature', f'{self.name}.{request_id}'),
             ('X-Server-Load', load),
         ]
