--- a/review/2/case.py
+++ b/review/2/case.py
@@ -49,6 +49,7 @@
         await asyncio.sleep(1)
         leaving = deployment.replicas['i-split-a']
         store.delete(f'servers/{leaving.name}')
+        leaving.is_leaving = True
         left_at = record.now()
         record.say(f'removal of {leaving.name} acknowledged')
         await asyncio.sleep(SERVES_ON_S)
