--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -20,6 +20,7 @@
 RETRY_PAUSE_S: Final = 0.4
 #: Timeout of the refresh after the process was paused.
 _REFRESH_TIMEOUT_S: Final = 0.6
+_MS_PER_S: Final = 1000
 
 
 def apply_updates(
@@ -52,6 +53,7 @@
     """Reads the records, then watches them for changes, until cancelled."""
     has_read_all = False
     while True:
+        started_s = gateway.elapsed_s()
         try:
             has_read_all = await _read_or_watch(
                 gateway,
@@ -62,7 +64,11 @@
             has_read_all = False
         except PlatformUnavailableError as error:
             if gateway.views.outage.record_failure():
-                gateway.log.record('platform_unavailable', reason=error.reason)
+                gateway.log.record(
+                    'platform_unavailable',
+                    reason=error.reason,
+                    took_ms=_ms_since(gateway, started_s),
+                )
             await trio.sleep(RETRY_PAUSE_S)
 
 
@@ -104,6 +110,10 @@
     return True
 
 
+def _ms_since(gateway: Gateway, started_s: float) -> int:
+    return round((gateway.elapsed_s() - started_s) * _MS_PER_S)
+
+
 def _apply_event(
     gateway: Gateway,
     event: RecordEvent,
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -193,7 +193,19 @@
     if not history.may_have_run and _is_predicted_too_late(context, choice):
         return None
     budget = gateway.views.retry_budget
-    if history.has_reached_upstream and not budget.try_retry(routed.service):
+    if not history.has_reached_upstream:
+        return choice
+    is_allowed = budget.try_retry(routed.service)
+    gateway.metrics.count('retries' if is_allowed else 'retries_refused')
+    gateway.log.record(
+        'retry_decided',
+        routed.request.request_id,
+        service=routed.service,
+        is_allowed=is_allowed,
+        used=budget.used(routed.service),
+        left=round(budget.remaining(routed.service), 1),
+    )
+    if not is_allowed:
         context.reason = 'budget of repeats is used up'
         return None
     return choice
--- a/src/masticstage/explain.py
+++ b/src/masticstage/explain.py
@@ -134,6 +134,14 @@
     return f'no upstream answered; gave up after {fields["took_ms"]} ms'
 
 
+def _describe_retry(fields: _Fields) -> str:
+    decision = 'allowed' if fields['is_allowed'] else 'refused'
+    return (
+        f'a retry at {fields["service"]} was {decision}: this instance has '
+        f'sent {fields["used"]}, {fields["left"]} left in its budget'
+    )
+
+
 _EVIDENCE_TEXTS: Final = MappingProxyType(
     {
         'not-sent': 'was not reached; nothing was sent',
@@ -148,6 +156,7 @@
         'dispatched': _describe_dispatch,
         'dispatch_ended': _describe_dispatch_end,
         'refused': _describe_refusal,
+        'retry_decided': _describe_retry,
         'stream_broken': _describe_broken_stream,
         'answered': _describe_answered,
         'broken_off': _describe_abort,
--- a/src/masticstage/forwarding/budgets.py
+++ b/src/masticstage/forwarding/budgets.py
@@ -70,6 +70,10 @@
         """Records a retry without checking the budget."""
         self._current_window(service).retries.append(self._now_s())
 
+    def used(self, service: str) -> int:
+        """Returns how many retries were sent in this window."""
+        return len(self._current_window(service).retries)
+
     def remaining(self, service: str) -> float:
         """Returns how many retries may still be sent in this window."""
         window = self._current_window(service)
