Apply removals in time after silent connections and cuts

Cause: each failed call of an instance to the store counted as an outage of the store, which defers removals until 2.3 s after the next answered watch, and the waits of a watch were constants that add up to more than the time after which the bounds hold again.

Change: a deferral ends when the bound on removals can hold again, counted from the last moment at which a disturbance may have ended. The wait of a watch follows from the bounds of the deployment, less the time since the last answer; after a failed call the next one does not wait for changes. A rejection for the rate limit is no outage. A call has one timeout in all.

Why it works: a silent connection is replaced 4.65 s after its last answer, and its one failed call defers removals for no longer than the bound; in an outage new calls fail until its end, which defers them as before.

In test_view an outage of 20 s now has a failed call at its end, as real ones do.

--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -9,7 +9,12 @@
 
 import trio
 
-from masticstage.clock import Clock, PauseDetector, to_milliseconds
+from masticstage.clock import (
+    Clock,
+    PauseDetector,
+    milliseconds,
+    to_milliseconds,
+)
 from masticstage.drain import Drain
 from masticstage.edges.decision_log import DecisionLog
 from masticstage.edges.gateway import Activity, Connections, Gateway, Views
@@ -115,7 +120,7 @@
     return Views(
         RecordCache(),
         view,
-        OutageTracker(clock),
+        OutageTracker(clock, milliseconds(settings.bounds.reconnect_ms)),
         members,
         loads,
         Chooser(clock, CandidateSampler(random, is_connected), finder, loads),
--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -49,6 +49,9 @@
     async def watch(self, after: int, wait_s: float) -> RecordUpdates:
         """Waits for changes after a revision."""
 
+    async def read_changes(self, after: int) -> RecordUpdates:
+        """Returns the changes after a revision at once."""
+
 
 @final
 @attrs.frozen
--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -1,26 +1,26 @@
 """Watches the records that the platform publishes."""
 
+from datetime import timedelta
 from typing import Final
 
 import trio
 
 from masticstage.edges.gateway import Gateway
-from masticstage.exceptions import HistoryLostError, PlatformUnavailableError
-from masticstage.forwarding.read_pauses import batch_pause_s
+from masticstage.exceptions import (
+    HistoryLostError,
+    PlatformBusyError,
+    PlatformUnavailableError,
+)
+from masticstage.forwarding.read_pauses import batch_pause_s, watch_wait_s
 from masticstage.forwarding.record_cache import RecordEvent, RecordUpdates
 
-#: Duration of one watch call (long poll); each call has a price. A call on a
-#: dead connection is given up 0.9 s after this time. With the pauses below,
-#: that is early enough for the tightest bound: a configuration has to be in
-#: force 3 s after its acknowledgement. The bound holds again 5 s after the
-#: connections went dead.
-WATCH_TIMEOUT_S: Final = 5.0
-#: Pause after a failed call, since all instances share the platform's rate
-#: limit.
-RETRY_PAUSE_S: Final = 0.4
+#: Shortest time from the start of a failed call to the next one, since all
+#: instances share the platform's rate limit.
+_RETRY_INTERVAL_S: Final = 0.4
 #: Timeout of the refresh after the process was paused.
 _REFRESH_TIMEOUT_S: Final = 0.6
 _MS_PER_S: Final = 1000
+_MS: Final = timedelta(milliseconds=1)
 
 
 def apply_updates(
@@ -53,7 +53,7 @@
     """Reads the records, then watches them for changes, until cancelled."""
     has_read_all = False
     while True:
-        started_s = gateway.elapsed_s()
+        started_at = gateway.clock.elapsed()
         try:
             has_read_all = await _read_or_watch(
                 gateway,
@@ -62,14 +62,12 @@
         except HistoryLostError:
             gateway.log.record('history_lost')
             has_read_all = False
+        except PlatformBusyError as error:
+            gateway.log.record('platform_busy', reason=error.reason)
+            await trio.sleep(_RETRY_INTERVAL_S)
         except PlatformUnavailableError as error:
-            if gateway.views.outage.record_failure():
-                gateway.log.record(
-                    'platform_unavailable',
-                    reason=error.reason,
-                    took_ms=_ms_since(gateway, started_s),
-                )
-            await trio.sleep(RETRY_PAUSE_S)
+            took_s = _record_failure(gateway, error, started_at)
+            await trio.sleep(max(0, _RETRY_INTERVAL_S - took_s))
 
 
 async def refresh_records(gateway: Gateway) -> None:
@@ -77,7 +75,7 @@
     with trio.move_on_after(_REFRESH_TIMEOUT_S):
         revision = gateway.views.records.revision
         try:
-            updates = await gateway.connections.store.watch(revision, 0)
+            updates = await gateway.connections.store.read_changes(revision)
         except (HistoryLostError, PlatformUnavailableError) as error:
             gateway.log.record('refresh_failed', reason=str(error))
         else:
@@ -97,21 +95,60 @@
 
     Returns True, as all records have then been read.
     """
-    store, records = gateway.connections.store, gateway.views.records
+    store, views = gateway.connections.store, gateway.views
     if has_read_all:
-        updates = await store.watch(records.revision, WATCH_TIMEOUT_S)
+        updates = await store.watch(views.records.revision, _wait_s(gateway))
     else:
         updates = await store.read_all()
-    if gateway.views.outage.record_success():
-        gateway.log.record('platform_recovered', revision=updates.revision)
+    if views.outage.record_success():
+        _log_recovery(gateway, updates.revision)
     apply_updates(gateway, updates, 'platform', is_reliable=True)
     if updates.events:
-        await trio.sleep(batch_pause_s(gateway.live_count()))
+        await trio.sleep(_pause_s(gateway))
     return True
 
 
-def _ms_since(gateway: Gateway, started_s: float) -> int:
-    return round((gateway.elapsed_s() - started_s) * _MS_PER_S)
+def _wait_s(gateway: Gateway) -> float:
+    """Returns how long the next watch waits; zero to test a new connection."""
+    outage = gateway.views.outage
+    if outage.is_ongoing:
+        return 0
+    return watch_wait_s(
+        gateway.settings.bounds.reconnect_ms / _MS_PER_S,
+        outage.since_answer.total_seconds(),
+    )
+
+
+def _pause_s(gateway: Gateway) -> float:
+    bounds = gateway.settings.bounds
+    in_force_ms = min(bounds.removal_ms, bounds.configuration_ms)
+    return batch_pause_s(gateway.live_count(), in_force_ms / _MS_PER_S)
+
+
+def _record_failure(
+    gateway: Gateway,
+    error: PlatformUnavailableError,
+    started_at: timedelta,
+) -> float:
+    """Records a failed call; returns how long it took, in seconds."""
+    took = gateway.clock.elapsed() - started_at
+    gateway.metrics.count('platform_calls_failed')
+    if gateway.views.outage.record_failure(started_at):
+        gateway.log.record(
+            'platform_unavailable',
+            reason=error.reason,
+            took_ms=took // _MS,
+        )
+    return took.total_seconds()
+
+
+def _log_recovery(gateway: Gateway, revision: int) -> None:
+    due = gateway.views.outage.removals_apply_at() or timedelta()
+    gateway.log.record(
+        'platform_recovered',
+        revision=revision,
+        removals_apply_in_ms=(due - gateway.clock.elapsed()) // _MS,
+    )
 
 
 def _apply_event(
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -192,9 +192,15 @@
         return None
     if not history.may_have_run and _is_predicted_too_late(context, choice):
         return None
+    if history.has_reached_upstream and not _take_retry(context):
+        return None
+    return choice
+
+
+def _take_retry(context: _RequestContext) -> bool:
+    """Takes a retry from the budget; stores the reason if none is left."""
+    gateway, routed = context.gateway, context.routed
     budget = gateway.views.retry_budget
-    if not history.has_reached_upstream:
-        return choice
     is_allowed = budget.try_retry(routed.service)
     gateway.metrics.count('retries' if is_allowed else 'retries_refused')
     gateway.log.record(
@@ -207,8 +213,7 @@
     )
     if not is_allowed:
         context.reason = 'budget of repeats is used up'
-        return None
-    return choice
+    return is_allowed
 
 
 def _may_dispatch(context: _RequestContext) -> bool:
--- a/src/masticstage/entrysettings_schema.py
+++ b/src/masticstage/entrysettings_schema.py
@@ -42,12 +42,20 @@
 
 @attrs.frozen
 class EntryBounds:
-    """Figures that the users' rules name; times in the unit of the name."""
+    """Figures that the users' rules name; times in the unit of the name.
+
+    `reconnect_ms` is the time after a disturbance from which the other bounds
+    hold again, `removal_ms` and `configuration_ms` are the times after which a
+    removed upstream gets no requests and a configuration is in force.
+    """
 
     grace_s: float
     repeat_ratio: float
     repeat_window_s: float
     repeat_slack: float
+    reconnect_ms: float = 5000
+    removal_ms: float = 3000
+    configuration_ms: float = 3000
 
 
 @attrs.frozen
--- a/src/masticstage/exceptions.py
+++ b/src/masticstage/exceptions.py
@@ -282,6 +282,13 @@
     reason: str
 
 
+@attrs.define(eq=False)
+class PlatformBusyError(PlatformUnavailableError):
+    """The platform is up, but rejected a call for its rate limit."""
+
+    code = 'platform-busy'
+
+
 @attrs.define(eq=False)
 class HistoryLostError(MasticstageError):
     """The platform no longer has the changes after a revision."""
--- a/src/masticstage/platform/store.py
+++ b/src/masticstage/platform/store.py
@@ -6,14 +6,17 @@
 from typing import Any, Final, final
 
 import httpx
-
-from masticstage.exceptions import HistoryLostError, PlatformUnavailableError
+import trio
+
+from masticstage.exceptions import (
+    HistoryLostError,
+    PlatformBusyError,
+    PlatformUnavailableError,
+)
+from masticstage.forwarding.read_pauses import ANSWER_MARGIN_S
 from masticstage.forwarding.record_cache import RecordEvent, RecordUpdates
 from masticstage.platform import names
 
-#: Timeout for an answer after the wait of a watch has ended. The store answers
-#: in milliseconds; the rest allows for a slow store and for another region.
-ANSWER_MARGIN_S: Final = 0.9
 #: Timeout for one page when all records are read.
 _PAGE_TIMEOUT_S: Final = 1.5
 _MS_PER_S: Final = 1000
@@ -25,9 +28,11 @@
 class StoreClient:
     """Client of the store of one deployment.
 
-    Raises PlatformUnavailableError when the store does not answer or its
-    answer is malformed, and HistoryLostError when it no longer has the
-    changes after a revision.
+    Reads and watches use one kept connection, which is replaced after a call
+    without an answer. Raises PlatformUnavailableError when the store does not
+    answer or its answer is malformed, PlatformBusyError when it rejects a call
+    for its rate limit, and HistoryLostError when it no longer has the changes
+    after a revision.
     """
 
     def __init__(
@@ -81,28 +86,44 @@
         )
         return _decode(fields, 'events')
 
+    async def read_changes(self, after: int) -> RecordUpdates:
+        """Returns the changes after a revision at once.
+
+        Uses a connection that is not kept, so that there is never a second one
+        that may have gone silent unnoticed.
+        """
+        query = {'PathPrefix': '', 'after': str(after), 'WaitMs': '0'}
+        fields = await self._get(
+            names.WATCH_PATH, query, ANSWER_MARGIN_S, {'connection': 'close'}
+        )
+        return _decode(fields, 'events')
+
     async def _get(
         self,
         path: str,
         query: dict[str, str],
         timeout_s: float,
+        headers: dict[str, str] | None = None,
     ) -> _Fields:
+        """Calls the store; `timeout_s` is for the whole call."""
         try:
-            response = await self._client.get(
-                self._address + path,
-                params=query,
-                timeout=timeout_s,
-            )
+            with trio.fail_after(timeout_s):
+                response = await self._client.get(
+                    self._address + path,
+                    params=query,
+                    headers=headers,
+                    timeout=timeout_s,
+                )
+        except trio.TooSlowError as error:
+            raise PlatformUnavailableError('timed out') from error
         except httpx.HTTPError as error:
             raise PlatformUnavailableError(type(error).__name__) from error
         return _read_fields(response)
 
 
 def _read_fields(response: httpx.Response) -> _Fields:
-    if response.status_code == HTTPStatus.GONE:
-        raise HistoryLostError('history')
     if response.status_code != HTTPStatus.OK:
-        raise PlatformUnavailableError(f'status {response.status_code}')
+        raise _failure(response.status_code)
     try:
         fields: _Fields = response.json()
     except ValueError as error:
@@ -110,6 +131,15 @@
     return fields
 
 
+def _failure(status: int) -> HistoryLostError | PlatformUnavailableError:
+    """Returns what an answer with another status than 200 means."""
+    if status == HTTPStatus.GONE:
+        return HistoryLostError('history')
+    if status == HTTPStatus.TOO_MANY_REQUESTS:
+        return PlatformBusyError('rate limit')
+    return PlatformUnavailableError(f'status {status}')
+
+
 def _decode(fields: _Fields, list_name: str) -> RecordUpdates:
     try:
         events = tuple(_decode_event(entry) for entry in fields[list_name])
--- a/tests/forwarding/test_view.py
+++ b/tests/forwarding/test_view.py
@@ -8,6 +8,9 @@
 from masticstage.forwarding.view import FleetView
 from tests.forwarding_builders import SECOND, build_record, build_table
 
+#: Time after a disturbance from which removals are in force in time.
+_RECONNECT_TIME = 5 * SECOND
+
 
 def _names(view):
     return [known.record.name for known in view.upstreams_of('shop')]
@@ -63,7 +66,7 @@
 
 def test_a_removal_applies_at_once_without_an_outage():
     clock = ManualClock()
-    view, outage = FleetView(clock), OutageTracker(clock)
+    view, outage = FleetView(clock), OutageTracker(clock, _RECONNECT_TIME)
     view.apply('u', build_record())
 
     view.remove('u', outage.removals_apply_at())
@@ -73,13 +76,14 @@
 
 def test_a_removal_is_deferred_until_some_time_after_an_outage():
     clock = ManualClock()
-    view, outage = FleetView(clock), OutageTracker(clock)
+    view, outage = FleetView(clock), OutageTracker(clock, _RECONNECT_TIME)
     view.apply('u', build_record())
-    outage.record_failure()
+    outage.record_failure(clock.elapsed())
     view.remove('u', outage.removals_apply_at())
     clock.advance(20 * SECOND)
     assert not view.apply_due_removals(outage.removals_apply_at())
     assert _names(view) == ['u-1']
+    outage.record_failure(clock.elapsed())
 
     outage.record_success()
     assert not view.apply_due_removals(outage.removals_apply_at())
@@ -91,9 +95,9 @@
 
 def test_a_record_that_returns_cancels_its_removal():
     clock = ManualClock()
-    view, outage = FleetView(clock), OutageTracker(clock)
+    view, outage = FleetView(clock), OutageTracker(clock, _RECONNECT_TIME)
     view.apply('u', build_record())
-    outage.record_failure()
+    outage.record_failure(clock.elapsed())
     view.remove('u', outage.removals_apply_at())
     outage.record_success()
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import textwrap
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, Final
@@ -14,6 +15,7 @@
 _ROOT: Final = Path(__file__).resolve().parent.parent
 _PACKAGE: Final = _ROOT / 'src' / 'masticstage'
 _TYPING: Final = 'from typing import Literal\n\n'
+_LINE_LENGTH: Final = 80
 _SCALARS: Final = MappingProxyType(
     {
         'string': 'str',
@@ -51,13 +53,24 @@
     return f'    {name}: {annotation} = {literal}'
 
 
+def _render_docstring(description: str) -> str:
+    """Returns a docstring; what follows the first line is wrapped."""
+    summary, _, details = description.partition('\n\n')
+    if not details:
+        return f'    """{summary}"""'
+    indent = '    '
+    body = textwrap.fill(
+        details, _LINE_LENGTH, initial_indent=indent, subsequent_indent=indent
+    )
+    return f'{indent}"""{summary}\n\n{body}\n{indent}"""'
+
+
 def _render_class(name: str, schema: dict[str, Any]) -> str:
     required = set(schema.get('required', ()))
-    description = schema['description']
     lines = [
         '@attrs.frozen',
         f'class {name}:',
-        f'    """{description}"""',
+        _render_docstring(schema['description']),
         '',
     ]
     ordered = sorted(
