Bound retries so that they add up over all instances

Cause: each instance bounded the retries of its own last window by the requests of its own last window. While traffic moves, the falling instances spend what they earned before a window and the growing one earns as much again within it: the largest limits of the four added up to 590 in a window that allows 536.

Change: retries since any moment of the last window are bounded by an equal share of the slack, a quarter of the ratio of the requests in the window before that moment and three quarters of those since it. The slack counts from a process's second window on.

Why it works: each term may be added up over all instances for one and the same window, so the sum is never more than the ratio of the larger of two windows, which the bound allows; a property test draws the traffic.

--- a/src/masticstage/forwarding/budgets.py
+++ b/src/masticstage/forwarding/budgets.py
@@ -1,22 +1,38 @@
 """This instance's share of the retry budget of all instances.
 
-The bound applies to the retries of all instances together, and none of them
-sees the retries of the others. Each instance keeps within `ratio` of the
-requests that it received, plus an equal share of the slack: the slack divided
-by the largest number of instances recorded so far.
+The bound applies to the retries of all instances together, in any window, and
+none of them sees the retries of the others. Bounding the retries of the own
+last window by the requests of the own last window is not enough: while traffic
+moves between instances, the largest windows of each add up to more than any
+window of all. So each instance bounds its retries since any moment of the last
+window by terms that may be added up over all instances: an equal share of the
+slack, and requests before and after that same moment.
 """
 
 from collections import deque
 from datetime import timedelta
+from itertools import accumulate, islice, repeat
 from typing import Final, final
 
 import attrs
 
 from masticstage.clock import Clock
 
-#: Fraction of the bound that is used. The rest allows for deviations of sums
-#: over moving windows.
-_USED_SHARE: Final = 0.85
+#: Fraction of the bound that is used. The rest allows for requests that callers
+#: sent in another window than that in which they arrived.
+_USED_SHARE: Final = 0.95
+#: Fraction of the ratio that refers to the window before a moment. It can be
+#: used at once. The rest refers to the requests since that moment, which also
+#: gives retries to an instance that has just started or whose traffic grows.
+_EARLIER_SHARE: Final = 0.25
+#: Fraction of the ratio for requests of the slot in which that moment lies.
+_SAME_SLOT_SHARE: Final = min(_EARLIER_SHARE, 1 - _EARLIER_SHARE)
+#: Slots of a window in which requests and retries are counted.
+_SLOTS: Final = 20
+#: Slots over which retries are bounded: a window may lie in one slot more, and
+#: a retry may reach its upstream one slot after it was sent.
+_BOUNDED_SLOTS: Final = _SLOTS + 2
+_KEPT_SLOTS: Final = _BOUNDED_SLOTS + _SLOTS
 
 
 @attrs.frozen
@@ -28,18 +44,24 @@
     slack: float
 
 
+def _no_counts() -> deque[int]:
+    return deque(repeat(0, _KEPT_SLOTS), _KEPT_SLOTS)
+
+
 @attrs.define
-class _Window:
-    """Times of the requests and retries of one service, in seconds."""
+class _Counts:
+    """Requests and retries of one service by slot, newest first."""
 
-    requests: deque[float] = attrs.field(factory=deque)
-    retries: deque[float] = attrs.field(factory=deque)
+    slot: int
+    requests: deque[int] = attrs.field(factory=_no_counts)
+    retries: deque[int] = attrs.field(factory=_no_counts)
 
-    def discard_before(self, moment_s: float) -> None:
-        """Removes the times up to and including a moment."""
-        for times in (self.requests, self.retries):
-            while times and times[0] <= moment_s:
-                times.popleft()
+    def advance_to(self, slot: int) -> None:
+        """Makes a slot the newest one."""
+        passed = min(slot - self.slot, _KEPT_SLOTS)
+        self.requests.extendleft(repeat(0, passed))
+        self.retries.extendleft(repeat(0, passed))
+        self.slot = slot
 
 
 @final
@@ -50,7 +72,7 @@
     _clock: Clock
     _bounds: BudgetBounds
     _min_instances: int
-    _windows: dict[str, _Window] = attrs.field(factory=dict)
+    _counts: dict[str, _Counts] = attrs.field(factory=dict)
     _instances: int = 1
     _started_at: timedelta = attrs.field(init=False)
 
@@ -64,23 +86,27 @@
 
     def record_request(self, service: str) -> None:
         """Records a request received from a caller."""
-        self._current_window(service).requests.append(self._now_s())
+        self._current_counts(service).requests[0] += 1
 
     def record_retry(self, service: str) -> None:
         """Records a retry without checking the budget."""
-        self._current_window(service).retries.append(self._now_s())
+        self._current_counts(service).retries[0] += 1
 
     def used(self, service: str) -> int:
-        """Returns how many retries were sent in this window."""
-        return len(self._current_window(service).retries)
+        """Returns how many retries were sent in the last window."""
+        return sum(islice(self._current_counts(service).retries, _SLOTS))
 
     def remaining(self, service: str) -> float:
-        """Returns how many retries may still be sent in this window."""
-        window = self._current_window(service)
-        instances = max(self._instances, self._min_instances)
-        ratio_share = self._bounds.ratio * len(window.requests)
-        allowed = _USED_SHARE * (ratio_share + self._slack() / instances)
-        return allowed - len(window.retries)
+        """Returns how many retries may be sent now."""
+        counts = self._current_counts(service)
+        requests = [0, *accumulate(counts.requests)]
+        retries = [0, *accumulate(counts.retries)]
+        slack = self._slack_share()
+        return min(
+            _USED_SHARE * (slack + self._earned(requests, length))
+            - retries[length]
+            for length in range(1, _BOUNDED_SLOTS + 1)
+        )
 
     def try_retry(self, service: str) -> bool:
         """Takes one retry from the budget; returns False if none is left."""
@@ -89,21 +115,34 @@
         self.record_retry(service)
         return True
 
-    def _slack(self) -> float:
-        """Returns the slack, which grows from zero over the first window.
+    def _earned(self, requests: list[int], length: int) -> float:
+        """Returns the retries that requests allow in the newest slots.
 
-        After a restart, the previous process may already have used this
-        instance's share in the current window.
+        `requests[n]` is the number of requests in the newest n slots. `length`
+        is the number of slots; the oldest one may lie partly before them.
+        """
+        since = requests[length - 1]
+        same_slot = requests[length] - since
+        earlier = requests[length + _SLOTS - 1] - requests[length]
+        return self._bounds.ratio * (
+            _EARLIER_SHARE * earlier
+            + _SAME_SLOT_SHARE * same_slot
+            + (1 - _EARLIER_SHARE) * since
+        )
+
+    def _slack_share(self) -> float:
+        """Returns this instance's share of the slack, zero in the first window.
+
+        After a restart, the previous process may already have used the share
+        in the current window.
         """
-        age = self._clock.elapsed() - self._started_at
-        return self._bounds.slack * min(1, age / self._bounds.window)
-
-    def _current_window(self, service: str) -> _Window:
-        """Returns the times of a service, without those before the window."""
-        window = self._windows.setdefault(service, _Window())
-        length_s = self._bounds.window.total_seconds()
-        window.discard_before(self._now_s() - length_s)
-        return window
-
-    def _now_s(self) -> float:
-        return self._clock.elapsed().total_seconds()
+        if self._clock.elapsed() - self._started_at < self._bounds.window:
+            return 0
+        return self._bounds.slack / max(self._instances, self._min_instances)
+
+    def _current_counts(self, service: str) -> _Counts:
+        """Returns the counts of a service, with the current slot as newest."""
+        slot = int(self._clock.elapsed() * _SLOTS / self._bounds.window)
+        counts = self._counts.setdefault(service, _Counts(slot))
+        counts.advance_to(slot)
+        return counts
