Answer requests that a planned stop would cut

What callers saw (report of another operator, shown by a test): requests that were open at the end of the grace period, among them calls that may run once, ended with a closed connection. Relays were accepted until the end.

Cause: the stop was no limit of a request; a dispatch under way was cancelled together with the connection of its caller.

Change: the end of the stop is a limit beside those of the caller and the route. Relays are refused as not sent when callers are refused. The times follow from the grace period. What finds a route or refuses is a module of its own, since serving had grown too large.

--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -23,6 +23,7 @@
 from masticstage.forwarding.budgets import RetryBudget
 from masticstage.forwarding.choice import Chooser
 from masticstage.forwarding.crash_causes import Cause, Causes, CrashCauses
+from masticstage.forwarding.drain_times import accept_time, answer_time
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.overload import OverloadControl
@@ -99,13 +100,15 @@
 class Activity:
     """Requests that are being handled.
 
-    `drain_started_at` is None before the drain.  While an upstream is checked
-    after a broken answer, `broken_requests` holds the requests that broke on
-    it, by its name.
+    `drain_started_at` is None before the drain.  Cancelling `open_scopes` makes
+    the requests of callers end with an answer of the gateway.  While an
+    upstream is checked after a broken answer, `broken_requests` holds the
+    requests that broke on it, by its name.
     """
 
     open_requests: int = 0
     drain_started_at: timedelta | None = None
+    open_scopes: set[trio.CancelScope] = attrs.field(factory=set)
     broken_requests: dict[str, BrokenRequests] = attrs.field(factory=dict)
     pending: PendingDispatches = attrs.field(factory=PendingDispatches)
 
@@ -149,6 +152,25 @@
         has_table = self.views.fleet.table is not None
         return has_table and not self.drain.is_draining
 
+    @property
+    def grace(self) -> timedelta:
+        """Time from the signal to stop until the process is killed."""
+        return timedelta(seconds=self.settings.bounds.grace_s)
+
+    def accepts_requests(self) -> bool:
+        """Returns whether requests are accepted, also early in a drain."""
+        started_at = self.activity.drain_started_at
+        if started_at is None:
+            return True
+        return self.clock.elapsed() - started_at <= accept_time(self.grace)
+
+    def requests_end_at(self) -> timedelta | None:
+        """Returns when open requests end in a drain, None before it."""
+        started_at = self.activity.drain_started_at
+        return (
+            None if started_at is None else started_at + answer_time(self.grace)
+        )
+
     def limits(self) -> CallerLimits:
         """Returns the limits in force."""
         table = self.views.fleet.table
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -25,6 +25,7 @@
     watch_records,
 )
 from masticstage.edges.serving import serve_caller
+from masticstage.forwarding.drain_times import answer_time, stop_time
 from masticstage.forwarding.routes import CallerLimits
 from masticstage.forwarding.wire import RawRequest
 
@@ -42,10 +43,6 @@
 #: Shortest drain: callers use a list of entries for a second. With longer
 #: drains, several instances would be out at once in a rolling restart.
 _MIN_DRAIN_S: Final = 1.4
-#: Fraction of the grace period after which open requests are cancelled. The
-#: process needs the rest to exit: with 0.95, three instances were killed before
-#: they had exited.
-_MAX_DRAIN_SHARE: Final = 0.9
 #: Limits on headers and body of a message from a peer, in bytes. A relay
 #: carries the whole request of a caller.
 _PEER_LIMITS: Final = CallerLimits(65536, 8_388_608)
@@ -189,8 +186,24 @@
     gateway.views.members.leave()
     gateway.log.record('draining', open=gateway.activity.open_requests)
     await notify_all_peers(gateway)
-    max_drain_s = _MAX_DRAIN_SHARE * gateway.settings.bounds.grace_s
-    with trio.move_on_after(max_drain_s):
+    with trio.move_on_after(answer_time(gateway.grace).total_seconds()):
         await trio.sleep(_MIN_DRAIN_S)
-        while gateway.activity.open_requests:
-            await trio.sleep(_POLL_INTERVAL_S)
+        await _wait_until_idle(gateway)
+    rest = stop_time(gateway.grace) - answer_time(gateway.grace)
+    with trio.move_on_after(rest.total_seconds()):
+        await _end_open_requests(gateway)
+
+
+async def _end_open_requests(gateway: Gateway) -> None:
+    """Makes open requests end with an answer, as they cannot end in time."""
+    open_scopes = gateway.activity.open_scopes
+    if open_scopes:
+        gateway.log.record('ending_requests', open=len(open_scopes))
+    for scope in tuple(open_scopes):
+        scope.cancel()
+    await _wait_until_idle(gateway)
+
+
+async def _wait_until_idle(gateway: Gateway) -> None:
+    while gateway.activity.open_requests:
+        await trio.sleep(_POLL_INTERVAL_S)
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -139,9 +139,9 @@
     preferred: str,
 ) -> Choice | None:
     """Returns an upstream of this region for a relay, None to refuse it."""
-    is_view_current = not gateway.pause_detector.is_overdue()
-    cause = gateway.views.crash_causes.find_quarantined(routed.causes)
-    if not is_view_current or cause is not None:
+    if gateway.pause_detector.is_overdue() or not gateway.accepts_requests():
+        return None
+    if gateway.views.crash_causes.find_quarantined(routed.causes) is not None:
         return None
     return gateway.views.chooser.choose_local(
         routed.request,
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -16,6 +16,13 @@
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.health_checks import update_upstream_health
 from masticstage.edges.http_server import Reply
+from masticstage.edges.refusals import (
+    DRAINING_RETRY_AFTER,
+    QUARANTINED,
+    Refusal,
+    find_route,
+    send_refusal,
+)
 from masticstage.edges.streaming import (
     IdlePolicy,
     StreamTimes,
@@ -24,10 +31,8 @@
 )
 from masticstage.exceptions import InvalidRequestError
 from masticstage.forwarding.candidates import Choice
-from masticstage.forwarding.crash_causes import possible_causes
 from masticstage.forwarding.events import EventFramer
 from masticstage.forwarding.evidence import AttemptHistory, Evidence
-from masticstage.forwarding.requests import CallerRequest
 from masticstage.forwarding.timeouts import (
     first_answer_timeout,
     stream_idle_timeout,
@@ -35,28 +40,8 @@
 from masticstage.forwarding.wire import DispatchOptions, RawRequest
 
 _MS: Final = timedelta(milliseconds=1)
-#: Sent as Retry-After while the instance has no current configuration. Reading
-#: it from the platform takes less time.
-_NOT_READY_RETRY_AFTER: Final = timedelta(milliseconds=400)
 #: Sent as Retry-After when no upstream can take the request.
 _NO_UPSTREAM_RETRY_AFTER: Final = timedelta(milliseconds=300)
-#: Sent as Retry-After by a draining instance: callers can retry almost at once,
-#: since they use another instance.
-_DRAINING_RETRY_AFTER: Final = timedelta(milliseconds=150)
-#: Reason for refusing a request that is expected to crash an upstream.
-_QUARANTINED: Final = 'crashed upstreams'
-#: How long a draining instance accepts new requests. They have the rest of the
-#: grace period to complete.
-_ACCEPT_WHILE_DRAINING: Final = timedelta(seconds=3)
-
-
-@attrs.frozen
-class _Refusal:
-    """An error that the gateway answers itself, without an upstream."""
-
-    status: HTTPStatus
-    reason: str
-    retry_after: timedelta | None = None
 
 
 @final
@@ -83,8 +68,13 @@
 
     @property
     def remaining(self) -> timedelta:
-        """Time left until the earlier of the caller's and the route's limit."""
-        return self.deadline - self.gateway.clock.elapsed()
+        """Time left until the earliest limit.
+
+        Limits are those of the caller, of the route and of a planned stop.
+        """
+        ends_at = self.gateway.requests_end_at()
+        deadline = min(self.deadline, ends_at) if ends_at else self.deadline
+        return deadline - self.gateway.clock.elapsed()
 
 
 async def serve_caller(gateway: Gateway, raw: RawRequest, reply: Reply) -> None:
@@ -100,12 +90,12 @@
     try:
         request = gateway.wire.read_request(raw)
     except InvalidRequestError as error:
-        refusal = _Refusal(HTTPStatus.BAD_REQUEST, str(error))
-        await _refuse(gateway, reply, '', refusal)
+        refusal = Refusal(HTTPStatus.BAD_REQUEST, str(error))
+        await send_refusal(gateway, reply, '', refusal)
         return
-    routed = _find_route(gateway, request)
-    if isinstance(routed, _Refusal):
-        await _refuse(gateway, reply, request.request_id, routed)
+    routed = find_route(gateway, request)
+    if isinstance(routed, Refusal):
+        await send_refusal(gateway, reply, request.request_id, routed)
         return
     gateway.views.retry_budget.record_request(routed.service)
     allowance = min(request.allowance, routed.route.limit)
@@ -117,47 +107,25 @@
         AttemptHistory(routed.route),
     )
     try:
-        await _dispatch_until_answered(context)
+        await _answer_before_stop(context)
     except trio.Cancelled:
         _record_end(context, 'caller_left', '')
         raise
 
 
-def _find_route(
-    gateway: Gateway,
-    request: CallerRequest,
-) -> RoutedRequest | _Refusal:
-    """Returns the request with its route, or the refusal to send."""
-    table = gateway.views.fleet.table
-    if table is None or gateway.pause_detector.is_overdue():
-        return _Refusal(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            'no current configuration',
-            _NOT_READY_RETRY_AFTER,
-        )
-    drain_started_at = gateway.activity.drain_started_at
-    if (
-        drain_started_at
-        and gateway.clock.elapsed() - drain_started_at > _ACCEPT_WHILE_DRAINING
-    ):
-        return _Refusal(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            'stopping',
-            _DRAINING_RETRY_AFTER,
-        )
-    route = table.find(request.host, request.path)
-    if route is None:
-        return _Refusal(HTTPStatus.NOT_FOUND, f'no route in {table.version}')
-    fingerprint = request.fingerprint()
-    causes = possible_causes(request, fingerprint)
-    if gateway.views.crash_causes.find_quarantined(causes):
-        return _Refusal(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            _QUARANTINED,
-            request.allowance,
-        )
-    service = route.service_for(request.request_id)
-    return RoutedRequest(request, route, service, fingerprint, causes)
+async def _answer_before_stop(context: _RequestContext) -> None:
+    """Answers a request; in time also if the instance stops before its end."""
+    open_scopes = context.gateway.activity.open_scopes
+    with trio.CancelScope() as scope:
+        open_scopes.add(scope)
+        try:
+            await _dispatch_until_answered(context)
+        finally:
+            open_scopes.discard(scope)
+    if scope.cancelled_caught:
+        context.reason = 'stopping'
+        context.retry_after = DRAINING_RETRY_AFTER
+        await _end_unanswered(context)
 
 
 async def _dispatch_until_answered(context: _RequestContext) -> None:
@@ -220,7 +188,7 @@
     """Returns whether time and evidence allow a dispatch; stores why not."""
     gateway, routed = context.gateway, context.routed
     if gateway.views.crash_causes.find_quarantined(routed.causes):
-        context.reason = _QUARANTINED
+        context.reason = QUARANTINED
         context.retry_after = routed.request.allowance
         return False
     return context.remaining > timedelta() and context.history.may_dispatch()
@@ -278,14 +246,18 @@
         context.remaining,
     )
     tried = frozenset(context.history.tried)
-    outcome = await dispatch(
-        gateway,
-        attrs.evolve(routed, tried=tried),
-        choice,
-        options,
-        context.framer,
-        timeout,
-    )
+    try:
+        outcome = await dispatch(
+            gateway,
+            attrs.evolve(routed, tried=tried),
+            choice,
+            options,
+            context.framer,
+            timeout,
+        )
+    except trio.Cancelled:
+        context.history.record(choice.upstream, Evidence.MAY_HAVE_RUN)
+        raise
     context.history.record(outcome.upstream, outcome.evidence)
     context.history.tried.add(choice.upstream)
     await update_upstream_health(gateway, routed, choice, outcome)
@@ -424,7 +396,7 @@
         await _send_complete(context, context.last_failure)
         return
     request_id = context.routed.request.request_id
-    await _refuse(
+    await send_refusal(
         context.gateway,
         context.reply,
         request_id,
@@ -433,36 +405,17 @@
     _record_end(context, 'gave_up', '')
 
 
-def _final_refusal(context: _RequestContext) -> _Refusal:
+def _final_refusal(context: _RequestContext) -> Refusal:
     """Returns the refusal; a 503 means that no upstream ran the request."""
     if not context.history.may_have_run:
-        return _Refusal(
+        return Refusal(
             HTTPStatus.SERVICE_UNAVAILABLE,
             context.reason,
             context.retry_after,
         )
     if context.remaining <= timedelta():
-        return _Refusal(HTTPStatus.GATEWAY_TIMEOUT, 'time limit')
-    return _Refusal(HTTPStatus.BAD_GATEWAY, 'the outcome is unknown')
-
-
-async def _refuse(
-    gateway: Gateway,
-    reply: Reply,
-    request_id: str,
-    refusal: _Refusal,
-) -> None:
-    gateway.log.record(
-        'refused',
-        request_id,
-        status=refusal.status.value,
-        reason=refusal.reason,
-        revision=gateway.views.records.revision,
-    )
-    gateway.metrics.count(f'refused_{refusal.status.value}')
-    headers = gateway.wire.refusal_headers(request_id, refusal.retry_after)
-    body = f'{refusal.reason}\n'.encode()
-    await reply.send_complete(refusal.status.value, headers, body)
+        return Refusal(HTTPStatus.GATEWAY_TIMEOUT, 'time limit')
+    return Refusal(HTTPStatus.BAD_GATEWAY, 'the outcome is unknown')
 
 
 def _record_end(context: _RequestContext, outcome: str, upstream: str) -> None:
--- a/tests/edges/deployment.py
+++ b/tests/edges/deployment.py
@@ -67,8 +67,12 @@
     store: str,
     *,
     region: str = 'north',
+    **bounds: float,
 ) -> SettingsFile:
-    """Returns the settings of instance `own`, or of one in another region."""
+    """Returns the settings of instance `own`, or of one in another region.
+
+    `bounds` replace some of its bounds.
+    """
     name = 'own' if region == 'north' else region
     settings = EntrySettings(
         EntryInstance(name, f'{region}-a', region, '127.0.0.1'),
@@ -76,7 +80,7 @@
         EntryStore(store),
         (EntryPlace('north-a', 'north'), EntryPlace('south-a', 'south')),
         # A retry budget that is never used up; see test_budgets for its tests.
-        EntryBounds(8, 30, 10, 56),
+        attrs.evolve(EntryBounds(8, 30, 10, 56), **bounds),
     )
     return SettingsFile(Path('no-file.toml'), settings)
 
--- a/tests/edges/test_silent_store.py
+++ b/tests/edges/test_silent_store.py
@@ -1,9 +1,7 @@
 """Tests of what an instance does when connections to the store go silent."""
 
 from contextlib import asynccontextmanager
-from pathlib import Path
 
-import attrs
 import pytest
 import trio
 from trio.testing import MockClock
@@ -14,7 +12,6 @@
     apply_updates,
     watch_records,
 )
-from masticstage.edges.reload import SettingsFile
 from masticstage.forwarding.record_cache import RecordEvent, RecordUpdates
 from masticstage.platform.store import StoreClient
 from tests.edges.deployment import build_entry_settings
@@ -45,16 +42,13 @@
 
 
 def _settings(reconnect_s, removal_s):
-    settings = build_entry_settings(*['127.0.0.1:1'] * 4, '10.0.0.1:1').settings
-    bounds = attrs.evolve(
-        settings.bounds,
+    return build_entry_settings(
+        *['127.0.0.1:1'] * 4,
+        '10.0.0.1:1',
         reconnect_ms=reconnect_s * 1000,
         removal_ms=removal_s * 1000,
         configuration_ms=removal_s * 1000,
     )
-    return SettingsFile(
-        Path('no-file.toml'), attrs.evolve(settings, bounds=bounds)
-    )
 
 
 async def _tick(gateway):
