Heed what upstreams say of themselves in their answers

An upstream that leaves says so in each answer (Server-Leaving), also where the store does not; one that rejects with 503 may ask for a rest (Retry-After).

Change: notices are kept by name and start of an upstream, not by address or record. A leave takes it out of every choice at once, is passed on to peers as a hint, and ends with another start. A rest keeps requests and health checks away until its end; a shorter one does not end a longer one. If all rest, callers are told when to come back, spread over time.

--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -1,8 +1,10 @@
 """Runs entry instances and stand-ins of the users' platform as processes."""
 
 import shutil
+import signal
 import subprocess
 import sys
+import time
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -25,6 +27,7 @@
 #: Longer than `grace_s` of the instances.
 _STOP_TIMEOUT_S: Final = 12.0
 _POLL_INTERVAL_S: Final = 0.05
+_MS_PER_S: Final = 1000
 _LISTENERS: Final = ('callers', 'readiness', 'peers', 'entries', 'metrics')
 
 
@@ -72,6 +75,19 @@
                 json={'is_down': is_down},
             )
 
+    async def publish_replica(self, name: str) -> None:
+        """Writes the record of a replica that has just started."""
+        record = _server_record(name, self.replica_addresses[name])
+        await self.put_record(f'servers/{name}', record)
+
+    async def replace_leaving_replica(self, name: str, leave_s: float) -> None:
+        """Lets a replica say for a while that it leaves, then restarts it."""
+        self.processes[name].send_signal(signal.SIGUSR1)
+        await trio.sleep(leave_s)
+        await self.restart(name, is_killed=True)
+        await wait_for_port(self.replica_addresses[name])
+        await self.publish_replica(name)
+
     async def delete_record(self, key: str) -> None:
         """Deletes a record from the store."""
         async with httpx.AsyncClient(trust_env=False) as client:
@@ -167,7 +183,7 @@
     for name, address in fleet.replica_addresses.items():
         await fleet.start(name, 'standins.replica', address, name, *faults)
         await wait_for_port(address)
-        await fleet.put_record(f'servers/{name}', _server_record(name, address))
+        await fleet.publish_replica(name)
     await _start_instances(fleet)
 
 
@@ -193,6 +209,7 @@
         'Zone': data_centre,
         'Slots': 64,
         'State': 'ready',
+        'born': round(time.time() * _MS_PER_S),
     }
 
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -34,6 +34,8 @@
 #: after a pause of 1.2 s, which lies between them.
 _PROCESS_PAUSE_S: Final = (0.5, 3.0)
 _EVACUATION_S: Final = 3.0
+#: How long a replica says that it leaves.
+_LEAVE_S: Final = 2.0
 #: Share of the requests that must get whole answers in spite of all faults.
 _MIN_ANSWERED_SHARE: Final = 0.5
 
@@ -149,6 +151,14 @@
     )
 
 
+async def _replace_leaving_replica(
+    fleet: PlatformFleet, random: Random
+) -> None:
+    await fleet.replace_leaving_replica(
+        random.choice(sorted(fleet.replica_addresses)), _LEAVE_S
+    )
+
+
 async def _pause_process(fleet: PlatformFleet, random: Random) -> None:
     """Pauses the process of an instance or a replica for a while."""
     names = random.choice((fleet.listeners, fleet.replica_addresses))
@@ -173,6 +183,7 @@
         'evacuate': _evacuate_data_centre,
         'freeze': _pause_process,
         'kill': _kill_instance,
+        'leave': _replace_leaving_replica,
         'stop': _restart_instance,
         'store': _take_store_down,
     }
--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -108,7 +108,7 @@
         takes_compressed=True,
     )
     members = MemberTable(clock, member, _GONE_AFTER, supersedes_itself=True)
-    view = FleetView(clock)
+    view = FleetView(clock, milliseconds(settings.bounds.removal_ms))
     loads = LoadTable(clock)
     random = Random()  # noqa: S311 (spreads load; not for secrets)
     finder = CandidateFinder(clock, random, view, loads, members)
--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -20,6 +20,10 @@
     OutgoingRequest,
 )
 from masticstage.edges.messages import encode_relay
+from masticstage.edges.notices import (
+    describe_notices,
+    record_notices_of_dispatch,
+)
 from masticstage.exceptions import (
     BrokenConnectionError,
     ConnectError,
@@ -128,6 +132,7 @@
         in_flight=choice.candidate.counters.in_flight,
         bound_ms=timeout // timedelta(milliseconds=1),
         tried=sorted(routed.tried),
+        left_out=describe_notices(gateway.views.fleet, routed.service),
         **_prompt_fields(routed.request.prompt, choice),
     )
     started_s = gateway.elapsed_s()
@@ -335,6 +340,9 @@
     )
     _record_reported_state(gateway, choice, facts)
     evidence, upstream = _evidence_and_upstream(head, facts, choice)
+    record_notices_of_dispatch(
+        gateway, choice, upstream, facts, routed.request.request_id
+    )
     if not facts.matches_request:
         connection.close()
         return DispatchOutcome(evidence, upstream, 'answer to another request')
--- a/src/masticstage/edges/exchange.py
+++ b/src/masticstage/edges/exchange.py
@@ -16,6 +16,7 @@
     pack_loads,
     unpack_loads,
 )
+from masticstage.edges.notices import find_record, log_leaving
 from masticstage.forwarding.loads import SharedLoad
 from masticstage.member_messages import decode_member, encode_member
 from masticstage.membership import Liveness, Member
@@ -53,6 +54,12 @@
         summed_region='' if is_own_region else gateway.region,
         crash_causes=map(encode_cause, views.crash_causes.reports()),
     )
+    message.leaving.extend(
+        pb.LeavingUpstream(
+            name=report.upstream, started_at_ms=report.started_at_ms
+        )
+        for report in views.fleet.notices.reports()
+    )
     loads = _recent_loads(gateway, is_own_region=is_own_region)
     if is_packed:
         message.packed_loads.CopyFrom(pack_loads(loads))
@@ -84,6 +91,7 @@
         views.loads.replace_region_loads(message.summed_region, loads)
     else:
         views.loads.replace_peer_loads(message.sender.name, loads)
+    _learn_leaving(gateway, message)
     gateway.record_quarantined(
         views.crash_causes.learn(map(decode_cause, message.crash_causes)),
         message.sender.name,
@@ -128,6 +136,17 @@
     )
 
 
+def _learn_leaving(gateway: Gateway, message: pb.FleetExchange) -> None:
+    """Takes the sender's word for upstreams that leave, as a hint."""
+    fleet = gateway.views.fleet
+    for report in message.leaving:
+        record = find_record(fleet, report.name)
+        if record is None or record.started_at_ms != report.started_at_ms:
+            continue
+        if fleet.notices.record_leaving(record, is_own=False):
+            log_leaving(gateway, record, f'peer {message.sender.name}')
+
+
 def _decode_loads(
     message: pb.FleetExchange,
     names: Mapping[int, str],
--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -15,6 +15,7 @@
 from masticstage.edges.dispatch import DispatchOutcome, RoutedRequest
 from masticstage.edges.gateway import BrokenRequests, Gateway
 from masticstage.edges.http_client import OutgoingRequest, connect
+from masticstage.edges.notices import record_leaving, record_rest
 from masticstage.exceptions import (
     BrokenConnectionError,
     ConnectError,
@@ -90,7 +91,8 @@
     now_s = gateway.elapsed_s()
     for upstream in gateway.views.fleet.all_upstreams():
         record = upstream.record
-        if record.region != gateway.region:
+        is_resting = gateway.views.fleet.notices.rest_left(record)
+        if record.region != gateway.region or is_resting:
             continue
         state = gateway.views.loads.state(record.name, record.started_at_ms)
         if state.health.is_check_due(now_s):
@@ -176,7 +178,12 @@
     gateway: Gateway,
     upstream: KnownUpstream,
 ) -> MasticstageError | None:
-    """Checks an upstream within the timeout; returns the failure, if any."""
+    """Checks an upstream within the timeout; returns the failure, if any.
+
+    One that rests is not asked: it wants no checks either, and it is alive.
+    """
+    if gateway.views.fleet.notices.rest_left(upstream.record):
+        return None
     try:
         with trio.fail_after(_CHECK_TIMEOUT_S):
             return await _request_health(gateway, upstream)
@@ -213,6 +220,9 @@
     finally:
         connection.close()
     facts = gateway.wire.read_answer(head.status, head.headers, '')
+    if facts.instance in {'', record.name}:
+        record_leaving(gateway, record, facts)
+        record_rest(gateway, record, facts)
     if facts.instance and facts.instance != record.name:
         return UpstreamFailedError(
             record.name,
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -16,6 +16,7 @@
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.health_checks import update_upstream_health
 from masticstage.edges.http_server import Reply
+from masticstage.edges.notices import rests_of
 from masticstage.edges.refusals import (
     DRAINING_RETRY_AFTER,
     QUARANTINED,
@@ -37,6 +38,7 @@
     first_answer_timeout,
     stream_idle_timeout,
 )
+from masticstage.forwarding.upstream_notices import retry_after_rest
 from masticstage.forwarding.wire import DispatchOptions, RawRequest
 
 _MS: Final = timedelta(milliseconds=1)
@@ -157,6 +159,7 @@
         history.tried,
     )
     if choice is None:
+        _explain_rests(context)
         return None
     if not history.may_have_run and _is_predicted_too_late(context, choice):
         return None
@@ -165,6 +168,15 @@
     return choice
 
 
+def _explain_rests(context: _RequestContext) -> None:
+    """Stores when to retry if all usable upstreams asked for a rest."""
+    routed = context.routed
+    rests = rests_of(context.gateway.views.fleet, routed.service)
+    if rests and all(rests):
+        context.reason = 'all upstreams rest'
+        context.retry_after = retry_after_rest(rests, routed.request.request_id)
+
+
 def _take_retry(context: _RequestContext) -> bool:
     """Takes a retry from the budget; stores the reason if none is left."""
     gateway, routed = context.gateway, context.routed
--- a/src/masticstage/explain.py
+++ b/src/masticstage/explain.py
@@ -84,6 +84,10 @@
     route = f' through {fields["via"]}' if fields.get('via') else ''
     tried = fields.get('tried')
     after = f', after trying {", ".join(tried)}' if tried else ''
+    left_out = fields.get('left_out') or {}
+    after += ''.join(
+        f'; {name} {notice}' for name, notice in sorted(left_out.items())
+    )
     return (
         f'sent to {fields["upstream"]}{route}{after}: answer expected in '
         f'{fields["expected_ms"]} ms, {fields["remaining_ms"]} ms remaining, '
@@ -142,6 +146,17 @@
     )
 
 
+def _describe_leaving(fields: _Fields) -> str:
+    return f'{fields["upstream"]} said that it leaves ({fields["source"]})'
+
+
+def _describe_rest(fields: _Fields) -> str:
+    return (
+        f'{fields["upstream"]} asked this instance for a rest of '
+        f'{fields["rest_ms"]} ms'
+    )
+
+
 _EVIDENCE_TEXTS: Final = MappingProxyType(
     {
         'not-sent': 'was not reached; nothing was sent',
@@ -157,6 +172,8 @@
         'dispatch_ended': _describe_dispatch_end,
         'refused': _describe_refusal,
         'retry_decided': _describe_retry,
+        'upstream_leaving': _describe_leaving,
+        'upstream_rest': _describe_rest,
         'stream_broken': _describe_broken_stream,
         'answered': _describe_answered,
         'broken_off': _describe_abort,
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 from datetime import timedelta
-from typing import final
+from typing import Final, final
 
 import attrs
 
@@ -14,6 +14,10 @@
     UpstreamRecord,
 )
 from masticstage.forwarding.routes import RouteTable, ServiceConfig
+from masticstage.forwarding.upstream_notices import UpstreamNotices
+
+#: Time after which a leaving upstream gets nothing, unless settings name one.
+_REMOVAL_TIME: Final = timedelta(seconds=3)
 
 
 @attrs.define
@@ -34,10 +38,21 @@
     """
 
     _clock: Clock
+    _removal_time: timedelta = _REMOVAL_TIME
     _table: RouteTable | None = None
     _upstreams: dict[str, KnownUpstream] = attrs.field(factory=dict)
     _evacuations: dict[str, Evacuation] = attrs.field(factory=dict)
     _deferred_removals: dict[str, timedelta | None] = attrs.field(factory=dict)
+    _notices: UpstreamNotices = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts without notices of upstreams."""
+        self._notices = UpstreamNotices(self._clock, self._removal_time)
+
+    @property
+    def notices(self) -> UpstreamNotices:
+        """What upstreams said of themselves."""
+        return self._notices
 
     @property
     def table(self) -> RouteTable | None:
@@ -114,6 +129,7 @@
             upstream
             for upstream in self._usable()
             if upstream.record.service == service
+            and not self._notices.rest_left(upstream.record)
         ]
 
     def emptied_of(self, service: str) -> list[KnownUpstream]:
@@ -127,6 +143,7 @@
             for upstream in self._upstreams.values()
             if upstream.record.service == service
             and upstream.record.name not in usable
+            and self._notices.may_copy_from(upstream.record)
         ]
 
     def find(self, name: str) -> KnownUpstream | None:
@@ -144,7 +161,7 @@
     def is_leaving(self, name: str) -> bool:
         """Returns whether an upstream is leaving or no longer published."""
         return all(
-            upstream.record.is_leaving
+            self._leaves(upstream.record)
             for upstream in self._upstreams.values()
             if upstream.record.name == name
         )
@@ -161,10 +178,13 @@
         return (
             upstream
             for upstream in self._upstreams.values()
-            if not upstream.record.is_leaving
+            if not self._leaves(upstream.record)
             and upstream.record.data_centre not in evacuated
         )
 
+    def _leaves(self, record: UpstreamRecord) -> bool:
+        return record.is_leaving or self._notices.is_leaving(record)
+
     def _apply_table(self, table: RouteTable) -> str:
         if self._table is not None and self._table.version > table.version:
             return f'version {table.version} is older than the one in force'
--- a/src/masticstage/forwarding/wire.py
+++ b/src/masticstage/forwarding/wire.py
@@ -45,7 +45,8 @@
 
     `matches_request` is False when the answer names another request;
     `is_not_run` is the upstream's statement that the request did not run and
-    will not run later.
+    will not run later.  `is_leaving` and `rest` are what it says of itself:
+    that it leaves, and for how long it wants nothing from this instance.
     """
 
     status: int
@@ -56,6 +57,8 @@
     load: ReportedLoad | None = None
     cold_for: timedelta = timedelta()
     instance: str = ''
+    is_leaving: bool = False
+    rest: timedelta = timedelta()
 
 
 @attrs.frozen
--- a/src/masticstage/platform/names.py
+++ b/src/masticstage/platform/names.py
@@ -20,6 +20,10 @@
 PRIORITY: Final = b'x-request-priority'
 #: Address of an engine from which the upstream copies a cached prompt prefix.
 FETCH_FROM: Final = b'kv-fetch'
+#: From an upstream: that it leaves. The value is 1.
+LEAVING: Final = b'server-leaving'
+#: From an upstream with status 503: how long it wants nothing from this
+#: instance. To a caller: when to come back.
 RETRY_AFTER: Final = b'retry-after'
 CONTENT_ENCODING: Final = b'content-encoding'
 HOST: Final = b'host'
--- a/src/masticstage/platform/upstreams.py
+++ b/src/masticstage/platform/upstreams.py
@@ -1,6 +1,7 @@
 """Encodes headers of requests to upstreams, decodes heads of their answers."""
 
 from datetime import timedelta
+from http import HTTPStatus
 from typing import Final
 
 from masticstage.forwarding.loads import ReportedLoad
@@ -11,6 +12,8 @@
 
 #: Status of an upstream other than the target; it did not run the request.
 _MISDIRECTED: Final = 421
+#: Longest rest that is believed.
+_MAX_REST_S: Final = 3600
 _MS: Final = timedelta(milliseconds=1)
 #: The highest number that engines accept; higher numbers are less urgent.
 _LEAST_URGENT_PRIORITY: Final = 9
@@ -59,9 +62,23 @@
         _read_load(fields.get(names.LOAD)),
         _read_warmup(fields.get(names.WARMUP_MS)),
         fields.get(names.INSTANCE_ID, b'').decode('latin-1'),
+        # Another upstream than the target answers 421, for itself.
+        fields.get(names.LEAVING) == b'1' and status != _MISDIRECTED,
+        _read_rest(status, fields.get(names.RETRY_AFTER)),
     )
 
 
+def _read_rest(status: int, field: bytes | None) -> timedelta:
+    """Returns the rest in a refusal; zero for values that make no sense."""
+    if field is None or status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return timedelta()
+    try:
+        seconds = read_number(float(field), _MAX_REST_S)
+    except ValueError:
+        return timedelta()
+    return timedelta(seconds=seconds)
+
+
 def _read_load(field: bytes | None) -> ReportedLoad | None:
     if field is None:
         return None
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import signal
 import socket
 import struct
 import sys
@@ -62,6 +63,8 @@
     TEXT = 'text'
     #: The connection closes within the head of the answer.
     CUT_IN_HEAD = 'cut-in-head'
+    #: The same refusal, with a Retry-After of a second.
+    REST = 'rest'
     #: Status 500 with a text, after the request has run.
     ERROR = 'error'
 
@@ -85,9 +88,10 @@
 class Replica:
     """One upstream: its name, its faults, and the requests that it received.
 
-    `requests` has the headers of each request, with its target as `path`;
-    `executed_ids` has the ids of those that ran. A request whose prompt has the
-    `deadly_part` crashes the upstream: `serve` ends.
+    While it `is_leaving`, each answer says so. `requests` has the headers of
+    each request, with its target as `path`; `executed_ids` has the ids of those
+    that ran. A request whose prompt has the `deadly_part` crashes the upstream:
+    `serve` ends. `rest` is the Retry-After of a refusal with the fault REST.
     """
 
     name: str
@@ -99,6 +103,8 @@
     draw_fault: Callable[[], Fault] = lambda: Fault.NONE
     on_run: Callable[[str], None] = lambda _: None
     is_healthy: bool = True
+    is_leaving: bool = False
+    rest: str = '1'
     ignores_health_checks: bool = False
     open_requests: int = 0
     deadly_part: str = ''
@@ -183,10 +189,17 @@
         status = 200 if self.is_healthy else 503
         head = h11.Response(
             status_code=status,
-            headers=[('X-Instance-Id', self.name), ('Content-Length', '0')],
+            headers=[
+                ('X-Instance-Id', self.name),
+                *self._notice(),
+                ('Content-Length', '0'),
+            ],
         )
         await _write(stream, parser, head, h11.EndOfMessage())
 
+    def _notice(self) -> tuple[tuple[str, str], ...]:
+        return (('Server-Leaving', '1'),) if self.is_leaving else ()
+
     async def _answer(
         self,
         stream: trio.SocketStream,
@@ -195,13 +208,14 @@
         fault: Fault,
     ) -> bool:
         """Returns whether the connection can be reused."""
-        own_id = (('X-Request-Id', fields['x-request-id']),)
+        own_id = (('X-Request-Id', fields['x-request-id']), *self._notice())
         if fault is Fault.MISDIRECTED or self._is_misdirected(fields):
             await _send_empty_answer(stream, parser, 421, own_id)
             return True
-        if fault is Fault.NOT_RUN:
+        if fault in {Fault.NOT_RUN, Fault.REST}:
+            rest = (('Retry-After', self.rest),) if fault is Fault.REST else ()
             await _send_empty_answer(
-                stream, parser, 503, (*own_id, ('X-Not-Executed', '1'))
+                stream, parser, 503, (*own_id, ('X-Not-Executed', '1'), *rest)
             )
             return True
         self.executed_ids.append(fields['x-request-id'])
@@ -245,7 +259,11 @@
         request_id = fields['x-request-id']
         if fault is Fault.OTHER_ID:
             request_id = 'another'
-        headers = [('X-Request-Id', request_id), ('X-Server-Load', '1,0,8')]
+        headers = [
+            ('X-Request-Id', request_id),
+            ('X-Server-Load', '1,0,8'),
+            *self._notice(),
+        ]
         if fault is not Fault.UNSIGNED:
             headers.append(
                 ('X-Response-Signature', f'{self.name}.{request_id}')
@@ -428,6 +446,15 @@
     sys.stdout.flush()
 
 
+async def _serve_until_killed(replica: Replica, address: str) -> None:
+    """Serves; SIGUSR1 makes the upstream say in each answer that it leaves."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(replica.serve, address)
+        with trio.open_signal_receiver(signal.SIGUSR1) as signals:
+            async for _ in signals:
+                replica.is_leaving = True
+
+
 def run(
     address: str,
     name: str,
@@ -436,6 +463,8 @@
 ) -> None:
     """Runs an upstream until it is killed; prints the ids that it executed.
 
+    With SIGUSR1 it says in each answer that it leaves.
+
     Args:
         address: address to listen on (host:port).
         name: name of the upstream.
@@ -448,7 +477,7 @@
     replica.draw_fault = lambda: _draw_random_fault(random, fault_share)
     replica.on_run = _print_run
 
-    trio.run(replica.serve, address)
+    trio.run(_serve_until_killed, replica, address)
 
 
 if __name__ == '__main__':
