--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -190,7 +190,9 @@
 
     async def run_guarded(self, function: AsyncFunction, *args: Any) -> None:
         """Runs a function; logs its failure, so that the process continues."""
-        with self.guard(getattr(function, '__qualname__', repr(function))):
+        # `repr` of a bound method describes its whole object.
+        where = getattr(function, '__qualname__', type(function).__name__)
+        with self.guard(where):
             await function(*args)
 
     @contextmanager
--- a/tests/edges/test_odd_records.py
+++ b/tests/edges/test_odd_records.py
@@ -43,6 +43,27 @@
             assert status in {200, 500}
 
 
+class _Undescribed:
+    """A function whose description would be long."""
+
+    was_called = False
+
+    def __repr__(self):
+        raise AssertionError('described although it did not fail')
+
+    async def __call__(self):
+        self.was_called = True
+
+
+@run_with_timeout
+async def test_a_task_that_does_not_fail_is_not_described():
+    """Guards against a fifth more processor time for each request."""
+    async with deploy_entry(replica_count=0) as deployment:
+        function = _Undescribed()
+        await deployment.gateway.run_guarded(function)
+        assert function.was_called
+
+
 @run_with_timeout
 async def test_an_odd_record_does_not_stop_its_batch():
     """Guards against changes that are lost behind an odd entry."""
