Log refused retries only, and sum the budget in one pass

Cause: each decided retry computed the budget three times and wrote a line, at moments when upstreams fail and time is short; an allowed one is seen in the dispatch that follows.

Change: retry_refused instead of retry_decided; counters for both stay.

--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -181,19 +181,18 @@
     """Takes a retry from the budget; stores the reason if none is left."""
     gateway, routed = context.gateway, context.routed
     budget = gateway.views.retry_budget
-    is_allowed = budget.try_retry(routed.service)
-    gateway.metrics.count('retries' if is_allowed else 'retries_refused')
+    if budget.try_retry(routed.service):
+        gateway.metrics.count('retries')
+        return True
+    gateway.metrics.count('retries_refused')
     gateway.log.record(
-        'retry_decided',
+        'retry_refused',
         routed.request.request_id,
         service=routed.service,
-        is_allowed=is_allowed,
         used=budget.used(routed.service),
-        left=round(budget.remaining(routed.service), 1),
     )
-    if not is_allowed:
-        context.reason = 'budget of repeats is used up'
-    return is_allowed
+    context.reason = 'budget of repeats is used up'
+    return False
 
 
 def _may_dispatch(context: _RequestContext) -> bool:
--- a/src/masticstage/explain.py
+++ b/src/masticstage/explain.py
@@ -139,10 +139,9 @@
 
 
 def _describe_retry(fields: _Fields) -> str:
-    decision = 'allowed' if fields['is_allowed'] else 'refused'
     return (
-        f'a retry at {fields["service"]} was {decision}: this instance has '
-        f'sent {fields["used"]}, {fields["left"]} left in its budget'
+        f'no retry: the budget for {fields["service"]} is used up after '
+        f'{fields["used"]} of this instance in the last window'
     )
 
 
@@ -171,7 +170,7 @@
         'dispatched': _describe_dispatch,
         'dispatch_ended': _describe_dispatch_end,
         'refused': _describe_refusal,
-        'retry_decided': _describe_retry,
+        'retry_refused': _describe_retry,
         'upstream_leaving': _describe_leaving,
         'upstream_rest': _describe_rest,
         'stream_broken': _describe_broken_stream,
--- a/src/masticstage/forwarding/budgets.py
+++ b/src/masticstage/forwarding/budgets.py
@@ -99,14 +99,26 @@
     def remaining(self, service: str) -> float:
         """Returns how many retries may be sent now."""
         counts = self._current_counts(service)
+        # Each sum is over the newest n slots; the oldest of the bounded slots
+        # may lie partly before the window that begins in it.
         requests = [0, *accumulate(counts.requests)]
         retries = [0, *accumulate(counts.retries)]
-        slack = self._slack_share()
-        return min(
-            _USED_SHARE * (slack + self._earned(requests, length))
+        ratio = self._bounds.ratio
+        since_rate = ratio * (1 - _EARLIER_SHARE)
+        earlier_rate = ratio * _EARLIER_SHARE
+        same_slot_rate = ratio * _SAME_SLOT_SHARE
+        least_left = min(
+            _USED_SHARE
+            * (
+                since_rate * requests[length - 1]
+                + same_slot_rate * (requests[length] - requests[length - 1])
+                + earlier_rate
+                * (requests[length + _SLOTS - 1] - requests[length])
+            )
             - retries[length]
             for length in range(1, _BOUNDED_SLOTS + 1)
         )
+        return least_left + _USED_SHARE * self._slack_share()
 
     def try_retry(self, service: str) -> bool:
         """Takes one retry from the budget; returns False if none is left."""
@@ -115,21 +127,6 @@
         self.record_retry(service)
         return True
 
-    def _earned(self, requests: list[int], length: int) -> float:
-        """Returns the retries that requests allow in the newest slots.
-
-        `requests[n]` is the number of requests in the newest n slots. `length`
-        is the number of slots; the oldest one may lie partly before them.
-        """
-        since = requests[length - 1]
-        same_slot = requests[length] - since
-        earlier = requests[length + _SLOTS - 1] - requests[length]
-        return self._bounds.ratio * (
-            _EARLIER_SHARE * earlier
-            + _SAME_SLOT_SHARE * same_slot
-            + (1 - _EARLIER_SHARE) * since
-        )
-
     def _slack_share(self) -> float:
         """Returns this instance's share of the slack, zero in the first window.
 
