--- a/src/masticstage/explain.py
+++ b/src/masticstage/explain.py
@@ -84,6 +84,10 @@
     route = f' through {fields["via"]}' if fields.get('via') else ''
     tried = fields.get('tried')
     after = f', after trying {", ".join(tried)}' if tried else ''
+    left_out = fields.get('left_out') or {}
+    after += ''.join(
+        f'; {name} {notice}' for name, notice in sorted(left_out.items())
+    )
     return (
         f'sent to {fields["upstream"]}{route}{after}: answer expected in '
         f'{fields["expected_ms"]} ms, {fields["remaining_ms"]} ms remaining, '
@@ -135,10 +139,20 @@
 
 
 def _describe_retry(fields: _Fields) -> str:
-    decision = 'allowed' if fields['is_allowed'] else 'refused'
     return (
-        f'a retry at {fields["service"]} was {decision}: this instance has '
-        f'sent {fields["used"]}, {fields["left"]} left in its budget'
+        f'no retry: the budget for {fields["service"]} is used up after '
+        f'{fields["used"]} of this instance in the last window'
+    )
+
+
+def _describe_leaving(fields: _Fields) -> str:
+    return f'{fields["upstream"]} said that it leaves ({fields["source"]})'
+
+
+def _describe_rest(fields: _Fields) -> str:
+    return (
+        f'{fields["upstream"]} asked this instance for a rest of '
+        f'{fields["rest_ms"]} ms'
     )
 
 
@@ -156,7 +170,9 @@
         'dispatched': _describe_dispatch,
         'dispatch_ended': _describe_dispatch_end,
         'refused': _describe_refusal,
-        'retry_decided': _describe_retry,
+        'retry_refused': _describe_retry,
+        'upstream_leaving': _describe_leaving,
+        'upstream_rest': _describe_rest,
         'stream_broken': _describe_broken_stream,
         'answered': _describe_answered,
         'broken_off': _describe_abort,
