--- a/tests/edges/test_odd_records.py
+++ b/tests/edges/test_odd_records.py
@@ -46,14 +46,15 @@
 class _Undescribed:
     """A function whose description would be long."""
 
-    was_called = False
+    def __init__(self):
+        self.calls = 0
+
+    async def __call__(self):
+        self.calls += 1
 
     def __repr__(self):
         raise AssertionError('described although it did not fail')
 
-    async def __call__(self):
-        self.was_called = True
-
 
 @run_with_timeout
 async def test_a_task_that_does_not_fail_is_not_described():
@@ -61,7 +62,7 @@
     async with deploy_entry(replica_count=0) as deployment:
         function = _Undescribed()
         await deployment.gateway.run_guarded(function)
-        assert function.was_called
+        assert function.calls == 1
 
 
 @run_with_timeout
