--- a/src/masticstage/forwarding/budgets.py
+++ b/src/masticstage/forwarding/budgets.py
@@ -24,7 +24,7 @@
 #: Fraction of the ratio that refers to the window before a moment. It can be
 #: used at once. The rest refers to the requests since that moment, which also
 #: gives retries to an instance that has just started or whose traffic grows.
-_EARLIER_SHARE: Final = 0.25
+_EARLIER_SHARE: Final = 0.5
 #: Fraction of the ratio for requests of the slot in which that moment lies.
 _SAME_SLOT_SHARE: Final = min(_EARLIER_SHARE, 1 - _EARLIER_SHARE)
 #: Slots of a window in which requests and retries are counted.
