Log what the evidence of a dispatch was taken from

Change: answer_status, answer_names, says_not_run and reused on dispatch_ended, for answers that are no success. AnswerFacts tells a missing id from another one; what is concluded from it is unchanged.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -40,7 +40,11 @@
     Prompt,
 )
 from masticstage.forwarding.routes import Route
-from masticstage.forwarding.wire import AnswerFacts, DispatchOptions
+from masticstage.forwarding.wire import (
+    AnswerFacts,
+    DispatchOptions,
+    NamedRequest,
+)
 
 RELAY_PATH: Final = b'/relay'
 EVIDENCE_HEADER: Final = b'masticstage-evidence'
@@ -77,6 +81,16 @@
         return self.route.kind is CallKind.STREAMING
 
 
+@attrs.frozen
+class AnswerBasis:
+    """What shows to which request an answer belongs, for the log."""
+
+    status: int
+    named_request: NamedRequest
+    is_not_run: bool
+    is_reused: bool
+
+
 @final
 @attrs.define(eq=False)
 class DispatchOutcome:
@@ -85,6 +99,7 @@
     `upstream` is the one that was used, since a relaying peer may choose
     another.  `body` is the complete body.  If `connection` is set, the answer
     is a stream that is still open, and `body` holds its first complete events.
+    `basis` is what the evidence of an answer was taken from.
     """
 
     evidence: Evidence
@@ -94,6 +109,7 @@
     body: bytes = b''
     connection: Connection | None = None
     pool: ConnectionPool | None = None
+    basis: AnswerBasis | None = None
 
     def close(self) -> None:
         """Closes an open stream, which cancels the upstream's work on it."""
@@ -343,9 +359,17 @@
     record_notices_of_dispatch(
         gateway, choice, upstream, facts, routed.request.request_id
     )
+    basis = AnswerBasis(
+        facts.status,
+        facts.named_request,
+        facts.is_not_run,
+        connection.is_reused,
+    )
     if not facts.matches_request:
         connection.close()
-        return DispatchOutcome(evidence, upstream, 'answer to another request')
+        return DispatchOutcome(
+            evidence, upstream, 'answer to another request', basis=basis
+        )
     if evidence is Evidence.ANSWERED and routed.is_stream:
         return await _open_stream(connection, head, upstream, framer)
     body = await connection.read_body()
@@ -355,6 +379,7 @@
         '',
         _forwardable_head(head),
         body,
+        basis=basis,
     )
 
 
@@ -448,6 +473,7 @@
         reason=outcome.reason,
         status=outcome.head.status if outcome.head else None,
         took_ms=round(took_s * 1000),
+        **_basis_fields(outcome),
     )
     if outcome.upstream != choice.upstream:
         # The peer chose another upstream. Its region reports the load on that.
@@ -469,6 +495,22 @@
     loads.record_outcome(state, is_failure=is_failure, is_relayed=is_relayed)
 
 
+def _basis_fields(outcome: DispatchOutcome) -> dict[str, object]:
+    """Returns what the evidence was taken from, for the log.
+
+    An answer that was forwarded needs no explanation.
+    """
+    basis = outcome.basis
+    if basis is None or outcome.evidence is Evidence.ANSWERED:
+        return {}
+    return {
+        'answer_status': basis.status,
+        'answer_names': basis.named_request.value,
+        'says_not_run': basis.is_not_run,
+        'reused': basis.is_reused,
+    }
+
+
 def _record_times(
     gateway: Gateway,
     routed: RoutedRequest,
--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -91,6 +91,7 @@
     _answer: AnswerParser | None = None
     _last_answer_at_s: float = 0
     _pending_writes: int = 0
+    _requests: int = 0
     _is_unusable: bool = False
 
     @property
@@ -98,6 +99,11 @@
         """Seconds since the last complete answer."""
         return self._now_s() - self._last_answer_at_s
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether the connection has carried a request before the last one."""
+        return self._requests > 1
+
     def has_no_input(self) -> bool:
         """Returns whether neither bytes nor the end of the stream arrived."""
         return not self._stream.has_input()
@@ -109,6 +115,7 @@
         background, since a server may answer before it has read everything.
         """
         self._answer = AnswerParser(request.method)
+        self._requests += 1
         try:
             payload = encode_request(request)
         except InvalidRequestError:
--- a/src/masticstage/forwarding/wire.py
+++ b/src/masticstage/forwarding/wire.py
@@ -1,5 +1,6 @@
 """Interface to the request and record formats of a platform."""
 
+import enum
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -39,18 +40,26 @@
     fetch_from: str = ''
 
 
+@enum.unique
+class NamedRequest(enum.Enum):
+    """Which request an answer names by its request id."""
+
+    THIS = 'this'
+    NONE = 'none'
+    ANOTHER = 'another'
+
+
 @attrs.frozen
 class AnswerFacts:
     """Facts from the head of an upstream's answer.
 
-    `matches_request` is False when the answer names another request;
     `is_not_run` is the upstream's statement that the request did not run and
     will not run later.  `is_leaving` and `rest` are what it says of itself:
     that it leaves, and for how long it wants nothing from this instance.
     """
 
     status: int
-    matches_request: bool
+    named_request: NamedRequest
     is_not_run: bool
     is_signed: bool
     is_encoded: bool
@@ -60,6 +69,11 @@
     is_leaving: bool = False
     rest: timedelta = timedelta()
 
+    @property
+    def matches_request(self) -> bool:
+        """Whether the answer names no other request."""
+        return self.named_request is not NamedRequest.ANOTHER
+
 
 @attrs.frozen
 class EntryQuery:
--- a/src/masticstage/platform/upstreams.py
+++ b/src/masticstage/platform/upstreams.py
@@ -6,7 +6,11 @@
 
 from masticstage.forwarding.loads import ReportedLoad
 from masticstage.forwarding.requests import CallerRequest, Headers
-from masticstage.forwarding.wire import AnswerFacts, DispatchOptions
+from masticstage.forwarding.wire import (
+    AnswerFacts,
+    DispatchOptions,
+    NamedRequest,
+)
 from masticstage.platform import names
 from masticstage.platform.numbers import MAX_COUNT, read_duration, read_number
 
@@ -47,15 +51,13 @@
 def read_answer(status: int, headers: Headers, request_id: str) -> AnswerFacts:
     """Decodes the head of an upstream's answer.
 
-    An answer with a request id other than `request_id` does not match. A load
-    that cannot be decoded is None, such a warm-up time is zero.
+    A load that cannot be decoded is None, such a warm-up time is zero.
     """
     fields = dict(headers)
-    answered_id = fields.get(names.REQUEST_ID)
     is_not_run = names.NOT_EXECUTED in fields or status == _MISDIRECTED
     return AnswerFacts(
         status,
-        answered_id is None or answered_id.decode('latin-1') == request_id,
+        _find_named_request(fields.get(names.REQUEST_ID), request_id),
         is_not_run,
         names.SIGNATURE in fields,
         fields.get(names.CONTENT_ENCODING, b'') not in _IDENTITY_ENCODINGS,
@@ -68,6 +70,13 @@
     )
 
 
+def _find_named_request(field: bytes | None, request_id: str) -> NamedRequest:
+    if field is None:
+        return NamedRequest.NONE
+    is_this = field.decode('latin-1') == request_id
+    return NamedRequest.THIS if is_this else NamedRequest.ANOTHER
+
+
 def _read_rest(status: int, field: bytes | None) -> timedelta:
     """Returns the rest in a refusal; zero for values that make no sense."""
     if field is None or status != HTTPStatus.SERVICE_UNAVAILABLE:
--- a/tests/forwarding/test_evidence.py
+++ b/tests/forwarding/test_evidence.py
@@ -12,7 +12,7 @@
     classify_answer,
 )
 from masticstage.forwarding.requests import CallKind
-from masticstage.forwarding.wire import AnswerFacts
+from masticstage.forwarding.wire import AnswerFacts, NamedRequest
 from tests.forwarding_builders import build_route, build_stream_route
 
 _UNSAFE = build_route(kind=CallKind.UNSAFE, max_attempts=3)
@@ -69,7 +69,7 @@
 
 _VALID_ANSWER = AnswerFacts(
     200,
-    matches_request=True,
+    named_request=NamedRequest.THIS,
     is_not_run=False,
     is_signed=True,
     is_encoded=False,
@@ -81,14 +81,18 @@
     [
         ({}, Evidence.ANSWERED),
         ({'is_signed': False}, Evidence.MAY_HAVE_RUN),
-        ({'matches_request': False}, Evidence.MAY_HAVE_RUN),
+        ({'named_request': NamedRequest.ANOTHER}, Evidence.MAY_HAVE_RUN),
         ({'is_encoded': True}, Evidence.MAY_HAVE_RUN),
         ({'status': 302}, Evidence.MAY_HAVE_RUN),
         ({'status': 500}, Evidence.FAILED),
         ({'status': 503, 'is_not_run': True}, Evidence.NOT_RUN),
         ({'status': 503}, Evidence.FAILED),
         (
-            {'status': 503, 'is_not_run': True, 'matches_request': False},
+            {
+                'status': 503,
+                'is_not_run': True,
+                'named_request': NamedRequest.ANOTHER,
+            },
             Evidence.MAY_HAVE_RUN,
         ),
     ],
