--- a/standins/replica.py
+++ b/standins/replica.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from random import Random
+from types import MappingProxyType
 from typing import Final, final
 
 import attrs
@@ -67,11 +68,46 @@
     REST = 'rest'
     #: Status 500 with a text, after the request has run.
     ERROR = 'error'
+    #: The status of a refusal without X-Not-Executed, after the request has
+    #: run.
+    RAN_TIMEOUT = 'ran-timeout'
+    RAN_MISDIRECTED = 'ran-misdirected'
+    RAN_BUSY = 'ran-busy'
+    RAN_UNAVAILABLE = 'ran-unavailable'
+    #: Status 503 with X-Not-Executed, but without a request id.
+    UNNAMED_NOT_RUN = 'unnamed-not-run'
+    #: Like NOT_RUN and UNNAMED_NOT_RUN; the same answer is written once more
+    #: when the next request on the connection has begun to run.
+    NOT_RUN_TWICE = 'not-run-twice'
+    UNNAMED_NOT_RUN_TWICE = 'unnamed-not-run-twice'
 
 
 _UNFRAMED_FAULTS: Final = frozenset(
     (Fault.UNFRAMED, Fault.UNFRAMED_CUT_IN_EVENT, Fault.UNFRAMED_RESET)
 )
+_STATUS_AFTER_RUN: Final = MappingProxyType(
+    {
+        Fault.RAN_TIMEOUT: 408,
+        Fault.RAN_MISDIRECTED: 421,
+        Fault.RAN_BUSY: 429,
+        Fault.RAN_UNAVAILABLE: 503,
+    }
+)
+_REFUSALS: Final = frozenset(
+    (
+        Fault.NOT_RUN,
+        Fault.REST,
+        Fault.UNNAMED_NOT_RUN,
+        Fault.NOT_RUN_TWICE,
+        Fault.UNNAMED_NOT_RUN_TWICE,
+    )
+)
+_UNNAMED_REFUSALS: Final = frozenset(
+    (Fault.UNNAMED_NOT_RUN, Fault.UNNAMED_NOT_RUN_TWICE)
+)
+_REFUSALS_WRITTEN_TWICE: Final = frozenset(
+    (Fault.NOT_RUN_TWICE, Fault.UNNAMED_NOT_RUN_TWICE)
+)
 #: Makes the kernel reset a connection that is closed.
 _RESET: Final = struct.pack('ii', 1, 0)
 
@@ -108,6 +144,7 @@
     ignores_health_checks: bool = False
     open_requests: int = 0
     deadly_part: str = ''
+    _late_copies: dict[trio.SocketStream, bytes] = attrs.field(factory=dict)
     _lifetime: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     @property
@@ -145,6 +182,7 @@
         except (trio.BrokenResourceError, h11.RemoteProtocolError):
             return
         finally:
+            self._late_copies.pop(stream, None)
             await trio.aclose_forcefully(stream)
 
     async def _serve_request(
@@ -208,18 +246,25 @@
         fault: Fault,
     ) -> bool:
         """Returns whether the connection can be reused."""
-        own_id = (('X-Request-Id', fields['x-request-id']), *self._notice())
         if fault is Fault.MISDIRECTED or self._is_misdirected(fields):
-            await _send_empty_answer(stream, parser, 421, own_id)
+            await self._misdirect(stream, parser, fields)
             return True
-        if fault in {Fault.NOT_RUN, Fault.REST}:
-            rest = (('Retry-After', self.rest),) if fault is Fault.REST else ()
-            await _send_empty_answer(
-                stream, parser, 503, (*own_id, ('X-Not-Executed', '1'), *rest)
-            )
+        if fault in _REFUSALS:
+            await self._refuse(stream, parser, fields, fault)
             return True
+        return await self._run(stream, parser, fields, fault)
+
+    async def _run(
+        self,
+        stream: trio.SocketStream,
+        parser: h11.Connection,
+        fields: dict[str, str],
+        fault: Fault,
+    ) -> bool:
+        """Runs a request; returns whether the connection can be reused."""
         self.executed_ids.append(fields['x-request-id'])
         self.on_run(fields['x-request-id'])
+        await stream.send_all(self._late_copies.pop(stream, b''))
         if self._is_deadly(fields):
             self.crash()
         if fault is Fault.SILENT or self.has_crashed:
@@ -227,6 +272,10 @@
         if fault is Fault.RESET:
             return False
         headers = self._answer_headers(fields, fault)
+        status = _STATUS_AFTER_RUN.get(fault)
+        if status is not None:
+            await _send_empty_answer(stream, parser, status, headers)
+            return True
         if fault is Fault.OTHER_NOT_RUN:
             await _send_empty_answer(stream, parser, 503, _OLD_REFUSAL)
             return True
@@ -243,6 +292,37 @@
             )
         return await self._send_answer(stream, parser, fault, headers)
 
+    async def _refuse(
+        self,
+        stream: trio.SocketStream,
+        parser: h11.Connection,
+        fields: dict[str, str],
+        fault: Fault,
+    ) -> None:
+        """Answers that a request did not run."""
+        headers = [('X-Not-Executed', '1'), *self._notice()]
+        if fault not in _UNNAMED_REFUSALS:
+            headers.append(('X-Request-Id', fields['x-request-id']))
+        if fault is Fault.REST:
+            headers.append(('Retry-After', self.rest))
+        written = await _send_empty_answer(stream, parser, 503, tuple(headers))
+        if fault in _REFUSALS_WRITTEN_TWICE:
+            self._late_copies[stream] = written
+
+    async def _misdirect(
+        self,
+        stream: trio.SocketStream,
+        parser: h11.Connection,
+        fields: dict[str, str],
+    ) -> None:
+        """Answers as another upstream, which now has the address."""
+        headers = (
+            ('X-Request-Id', fields['x-request-id']),
+            ('X-Instance-Id', 'another'),
+            *self._notice(),
+        )
+        await _send_empty_answer(stream, parser, 421, headers)
+
     def _is_misdirected(self, fields: dict[str, str]) -> bool:
         return fields.get('x-target-instance', self.name) != self.name
 
@@ -400,10 +480,11 @@
     parser: h11.Connection,
     status: int,
     headers: tuple[tuple[str, str], ...],
-) -> None:
+) -> bytes:
+    """Returns what was written."""
     framed_headers = (*headers, ('Content-Length', '0'))
     response = h11.Response(status_code=status, headers=list(framed_headers))
-    await _write(stream, parser, response, h11.EndOfMessage())
+    return await _write(stream, parser, response, h11.EndOfMessage())
 
 
 async def _send_text(
@@ -430,9 +511,12 @@
     stream: trio.SocketStream,
     parser: h11.Connection,
     *events: h11.Event,
-) -> None:
+) -> bytes:
+    """Writes events; returns their bytes."""
     chunks = [parser.send(event) for event in events]
-    await stream.send_all(b''.join(chunk for chunk in chunks if chunk))
+    written = b''.join(chunk for chunk in chunks if chunk)
+    await stream.send_all(written)
+    return written
 
 
 def _draw_random_fault(random: Random, fault_share: float) -> Fault:
