Return no status that promises 'not run' for a call that ran

Callers saw: 408, 429 or 503 for a payout or a plan that an upstream had run, and with 421 a second run at another upstream and then 503. They repeat calls after these statuses, so the payout runs again. Cause: an upstream's own failure was returned with its status whatever that status means, and status 421 alone counted as the statement 'not run'. Class: a promise that is passed on without the evidence that it states. Change: the statuses are withheld from callers whose request must not run again: 502, no signature, counted as promises_withheld. 421 is a statement if it comes with one, or names another upstream than the one that was asked. test_upstreams held that 421 without anything else is one; PROTOCOL.md names the header as the only statement, and an upstream that is asked by its own name has no reason to say that it is another. It is replaced by cases for either.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -349,13 +349,15 @@
     framer: EventFramer,
 ) -> DispatchOutcome:
     head = await connection.read_head()
+    upstream = _answering_upstream(head, choice)
     facts = gateway.wire.read_answer(
         head.status,
         head.headers,
         routed.request.request_id,
+        upstream,
     )
     _record_reported_state(gateway, choice, facts)
-    evidence, upstream = _evidence_and_upstream(head, facts, choice)
+    evidence = _classify(head, facts, choice)
     record_notices_of_dispatch(
         gateway, choice, upstream, facts, routed.request.request_id
     )
@@ -408,28 +410,28 @@
     )
 
 
-def _evidence_and_upstream(
-    head: AnswerHead,
-    facts: AnswerFacts,
-    choice: Choice,
-) -> tuple[Evidence, str]:
-    """Returns the evidence of an answer and the upstream that gave it.
+def _answering_upstream(head: AnswerHead, choice: Choice) -> str:
+    """Returns the upstream that gave an answer; a peer may choose another."""
+    if choice.candidate.via is None:
+        return choice.upstream
+    reported = dict(head.headers).get(UPSTREAM_HEADER, b'').decode('latin-1')
+    return reported or choice.upstream
+
 
-    For a relayed request both are reported by the peer, but the head of an
-    answer is also classified here.
+def _classify(head: AnswerHead, facts: AnswerFacts, choice: Choice) -> Evidence:
+    """Returns the evidence of an answer.
+
+    For a relayed request it is reported by the peer, but the head of an answer
+    is also classified here.
     """
     if choice.candidate.via is None:
-        return classify_answer(facts), choice.upstream
-    fields = dict(head.headers)
-    upstream = (
-        fields.get(UPSTREAM_HEADER, b'').decode('latin-1') or choice.upstream
-    )
-    reported = fields.get(EVIDENCE_HEADER)
+        return classify_answer(facts)
+    reported = dict(head.headers).get(EVIDENCE_HEADER)
     if reported is None:
-        return Evidence.MAY_HAVE_RUN, upstream
+        return Evidence.MAY_HAVE_RUN
     evidence = Evidence(reported.decode('latin-1'))
     is_answer = evidence in {Evidence.ANSWERED, Evidence.FAILED}
-    return (classify_answer(facts) if is_answer else evidence), upstream
+    return classify_answer(facts) if is_answer else evidence
 
 
 def _forwardable_head(head: AnswerHead) -> AnswerHead:
--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -219,7 +219,7 @@
         head = await connection.read_head()
     finally:
         connection.close()
-    facts = gateway.wire.read_answer(head.status, head.headers, '')
+    facts = gateway.wire.read_answer(head.status, head.headers, '', record.name)
     if facts.instance in {'', record.name}:
         record_leaving(gateway, record, facts)
         record_rest(gateway, record, facts)
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -53,7 +53,8 @@
 
     `deadline` is on the monotonic clock.  `media_type` is that of the stream
     that has begun.  `reason` and `retry_after` describe
-    the refusal that is sent if no further upstream can be tried.
+    the refusal that is sent if no further upstream can be tried,
+    `unknown_reason` the failure if an upstream may have run the request.
     """
 
     gateway: Gateway
@@ -66,6 +67,7 @@
     last_failure: DispatchOutcome | None = None
     media_type: bytes = b''
     reason: str = 'no upstream'
+    unknown_reason: str = 'the outcome is unknown'
     retry_after: timedelta = _NO_UPSTREAM_RETRY_AFTER
 
     @property
@@ -403,8 +405,9 @@
         # sees that the answer is incomplete.
         _record_end(context, 'broken_off', '')
         return
-    if context.last_failure is not None:
-        await _send_complete(context, context.last_failure)
+    failure = context.last_failure
+    if failure is not None and _may_return(context, failure):
+        await _send_complete(context, failure)
         return
     request_id = context.routed.request.request_id
     await send_refusal(
@@ -416,6 +419,16 @@
     _record_end(context, 'gave_up', '')
 
 
+def _may_return(context: _RequestContext, failure: DispatchOutcome) -> bool:
+    """Returns whether an upstream's own failure is returned; counts if not."""
+    status = failure.head.status if failure.head else 0
+    if context.history.may_return(status):
+        return True
+    context.gateway.metrics.count('promises_withheld')
+    context.unknown_reason = f'an upstream ran it and answered {status}'
+    return False
+
+
 def _final_refusal(context: _RequestContext) -> Refusal:
     """Returns the refusal; a 503 means that no upstream ran the request."""
     if not context.history.may_have_run:
@@ -426,7 +439,7 @@
         )
     if context.remaining <= timedelta():
         return Refusal(HTTPStatus.GATEWAY_TIMEOUT, 'time limit')
-    return Refusal(HTTPStatus.BAD_GATEWAY, 'the outcome is unknown')
+    return Refusal(HTTPStatus.BAD_GATEWAY, context.unknown_reason)
 
 
 def _record_end(context: _RequestContext, outcome: str, upstream: str) -> None:
--- a/src/masticstage/forwarding/evidence.py
+++ b/src/masticstage/forwarding/evidence.py
@@ -29,6 +29,15 @@
 _NOT_RUN_EVIDENCE = frozenset((Evidence.NOT_SENT, Evidence.NOT_RUN))
 #: Upstreams that may reject one request before the gateway refuses it.
 MAX_REJECTIONS = 4
+#: Statuses that promise a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 
 
 @final
@@ -78,6 +87,14 @@
             return True
         return self._route.is_idempotent and self.runs_left > 0
 
+    def may_return(self, status: int) -> bool:
+        """Returns whether the status of an upstream's failure is returned.
+
+        A caller repeats a request whose status promises that it has not run,
+        so such a status is withheld if the request must not run again.
+        """
+        return self._route.is_idempotent or status not in NOT_RUN_STATUSES
+
 
 def classify_answer(facts: AnswerFacts) -> Evidence:
     """Returns what the head of an answer shows about the execution.
--- a/src/masticstage/forwarding/wire.py
+++ b/src/masticstage/forwarding/wire.py
@@ -98,7 +98,7 @@
 
     read_request: Callable[[RawRequest], CallerRequest]
     dispatch_headers: Callable[[CallerRequest, DispatchOptions], Headers]
-    read_answer: Callable[[int, Headers, str], AnswerFacts]
+    read_answer: Callable[[int, Headers, str, str], AnswerFacts]
     refusal_headers: Callable[[str, timedelta | None], Headers]
     read_entry_query: Callable[[bytes], EntryQuery | None]
     write_entries: Callable[[tuple[str, ...]], EntryAnswer]
--- a/src/masticstage/platform/upstreams.py
+++ b/src/masticstage/platform/upstreams.py
@@ -48,22 +48,25 @@
     return tuple(headers)
 
 
-def read_answer(status: int, headers: Headers, request_id: str) -> AnswerFacts:
-    """Decodes the head of an upstream's answer.
+def read_answer(
+    status: int, headers: Headers, request_id: str, upstream: str
+) -> AnswerFacts:
+    """Decodes the head of the answer to a request sent to `upstream`.
 
     A load that cannot be decoded is None, such a warm-up time is zero.
     """
     fields = dict(headers)
-    is_not_run = names.NOT_EXECUTED in fields or status == _MISDIRECTED
+    instance = fields.get(names.INSTANCE_ID, b'').decode('latin-1')
+    is_misdirected = status == _MISDIRECTED and instance not in {'', upstream}
     return AnswerFacts(
         status,
         _find_named_request(fields.get(names.REQUEST_ID), request_id),
-        is_not_run,
+        names.NOT_EXECUTED in fields or is_misdirected,
         names.SIGNATURE in fields,
         fields.get(names.CONTENT_ENCODING, b'') not in _IDENTITY_ENCODINGS,
         _read_load(fields.get(names.LOAD)),
         _read_warmup(fields.get(names.WARMUP_MS)),
-        fields.get(names.INSTANCE_ID, b'').decode('latin-1'),
+        instance,
         # Another upstream than the target answers 421, for itself.
         fields.get(names.LEAVING) == b'1' and status != _MISDIRECTED,
         _read_rest(status, fields.get(names.RETRY_AFTER)),
--- a/tests/edges/test_upstream_notices.py
+++ b/tests/edges/test_upstream_notices.py
@@ -163,7 +163,7 @@
     ],
 )
 def test_only_a_sensible_rest_in_a_refusal_counts(status, field, rest_s):
-    facts = read_answer(status, ((b'retry-after', field),), 'r-1')
+    facts = read_answer(status, ((b'retry-after', field),), 'r-1', 'i-7')
     assert facts.rest.total_seconds() == rest_s
 
 
@@ -177,5 +177,5 @@
     ],
 )
 def test_only_the_target_says_that_it_leaves(status, field, is_leaving):
-    facts = read_answer(status, ((b'server-leaving', field),), 'r-1')
+    facts = read_answer(status, ((b'server-leaving', field),), 'r-1', 'i-7')
     assert facts.is_leaving is is_leaving
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -127,7 +127,7 @@
         (b'x-server-load', ','.join(map(str, load)).encode()),
         (b'x-warmup-ms', str(warmup).encode()),
     )
-    facts = read_answer(200, fields, 'r-1')
+    facts = read_answer(200, fields, 'r-1', 'i-7')
 
     assert timedelta() <= facts.cold_for < timedelta(days=200)
     if facts.load is not None:
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -47,6 +47,7 @@
             (b'x-server-load', b'3,0,8'),
         ),
         'r-1',
+        'i-7',
     )
     assert facts.matches_request
     assert facts.is_signed
@@ -56,31 +57,53 @@
 
 @pytest.mark.parametrize(
     ('status', 'headers'),
-    [(503, ((b'x-not-executed', b'1'),)), (421, ())],
+    [
+        (503, ((b'x-not-executed', b'1'),)),
+        (421, ((b'x-not-executed', b'1'),)),
+        (421, ((b'x-instance-id', b'i-8'),)),
+    ],
 )
 def test_an_upstream_reports_that_it_did_not_run_the_request(status, headers):
-    assert upstreams.read_answer(status, headers, 'r-1').is_not_run
+    assert upstreams.read_answer(status, headers, 'r-1', 'i-7').is_not_run
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers'),
+    [
+        (503, ()),
+        (429, ()),
+        (408, ()),
+        (421, ()),
+        (421, ((b'x-instance-id', b'i-7'),)),
+        (503, ((b'x-instance-id', b'i-8'),)),
+    ],
+)
+def test_a_status_alone_does_not_report_that_a_request_did_not_run(
+    status, headers
+):
+    """Guards against `not run` taken from the status of a call that ran."""
+    assert not upstreams.read_answer(status, headers, 'r-1', 'i-7').is_not_run
 
 
 def test_an_answer_to_another_request_does_not_match():
     headers = ((b'x-request-id', b'r-2'),)
-    assert not upstreams.read_answer(200, headers, 'r-1').matches_request
+    assert not upstreams.read_answer(200, headers, 'r-1', 'i-7').matches_request
 
 
 def test_a_content_encoding_is_reported():
     headers = ((b'content-encoding', b'gzip'),)
-    assert upstreams.read_answer(200, headers, 'r-1').is_encoded
+    assert upstreams.read_answer(200, headers, 'r-1', 'i-7').is_encoded
 
 
 @pytest.mark.parametrize('text', [b'', b'1,2', b'a,b,c'])
 def test_a_malformed_load_is_ignored(text):
     headers = ((b'x-server-load', text),)
-    assert upstreams.read_answer(200, headers, 'r').load is None
+    assert upstreams.read_answer(200, headers, 'r', 'i-7').load is None
 
 
 def test_a_warm_up_is_read():
     headers = ((b'x-warmup-ms', b'1500'),)
-    facts = upstreams.read_answer(200, headers, '')
+    facts = upstreams.read_answer(200, headers, '', 'i-7')
     assert facts.cold_for == milliseconds(1500)
 
 
