Take 'not run' only from the answer to this attempt

Callers saw: 503 for a call that an upstream had begun to run, or the call ran at two upstreams (TWICE, REFUSED). Cause: a refusal was believed if it named no request, or the same one; but an upstream may write an earlier refusal once more on a kept connection, late, and a caller that was refused may come back with the same id within the time for which connections are kept (0.25 s for such calls). Class: an id that names a request is taken for one that names an attempt. Change: a refusal counts only if it names the request and has an error status; a connection that carried a refusal of an id is passed over for that id (at 256 such ids it is closed). Why it works: on the connection that is used, no earlier answer named the id, so a copy of one cannot.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -225,7 +225,9 @@
         else _MAX_IDLE_NON_IDEMPOTENT_S
     )
     try:
-        connection = await pool.acquire(address, max_idle_s)
+        connection = await pool.acquire(
+            address, max_idle_s, routed.request.request_id
+        )
     except ConnectError as error:
         return DispatchOutcome(Evidence.NOT_SENT, choice.upstream, error.reason)
     try:
@@ -358,6 +360,8 @@
     )
     _record_reported_state(gateway, choice, facts)
     evidence = _classify(head, facts, choice)
+    if evidence is Evidence.NOT_RUN:
+        connection.record_refusal(routed.request.request_id)
     record_notices_of_dispatch(
         gateway, choice, upstream, facts, routed.request.request_id
     )
--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -32,6 +32,8 @@
 #: pool. Streams are passed on in parts.
 _MAX_BODY_BYTES: Final = 4_194_304
 _MAX_HELD_BYTES: Final = 67_108_864
+#: Refusals after which a connection is no longer reused; it keeps their ids.
+_MAX_REFUSALS: Final = 256
 #: Bytes that would end a line or a field of the head.
 _UNSAFE_IN_FIELD: Final = re.compile(rb'[\r\n\0]')
 _UNSAFE_IN_TARGET: Final = re.compile(rb'[\r\n\0 ]')
@@ -92,6 +94,7 @@
     _last_answer_at_s: float = 0
     _pending_writes: int = 0
     _requests: int = 0
+    _refused_ids: set[str] = attrs.field(factory=set)
     _is_unusable: bool = False
 
     @property
@@ -104,6 +107,19 @@
         """Whether the connection has carried a request before the last one."""
         return self._requests > 1
 
+    def record_refusal(self, request_id: str) -> None:
+        """Records that the server refused a request on this connection."""
+        self._refused_ids.add(request_id)
+
+    def may_carry(self, request_id: str) -> bool:
+        """Returns whether an answer would show that it is to this attempt.
+
+        A server may write an earlier refusal once more, late.  Only its request
+        id tells that from the next answer, and a caller that comes back may
+        use the same id.
+        """
+        return request_id not in self._refused_ids
+
     def has_no_input(self) -> bool:
         """Returns whether neither bytes nor the end of the stream arrived."""
         return not self._stream.has_input()
@@ -165,6 +181,8 @@
             return False
         if self._pending_writes or self._is_unusable:
             return False
+        if len(self._refused_ids) >= _MAX_REFUSALS:
+            return False
         self._last_answer_at_s = self._now_s()
         return True
 
@@ -284,18 +302,18 @@
     _held: HeldBodies = attrs.field(factory=HeldBodies)
     opened: int = 0
 
-    async def acquire(self, address: str, max_idle_s: float) -> Connection:
+    async def acquire(
+        self, address: str, max_idle_s: float, request_id: str = ''
+    ) -> Connection:
         """Returns a connection idle for at most `max_idle_s`, or a new one.
 
-        Raises ConnectError if a new one cannot be opened.
+        It has not carried a refusal of `request_id`.  Raises ConnectError if a
+        new one cannot be opened.
         """
         limit_s = min(max_idle_s, self._max_idle_s)
-        idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.idle_s <= limit_s and connection.has_no_input():
-                return connection
-            connection.close()
+        connection = self._take_idle(address, limit_s, request_id)
+        if connection is not None:
+            return connection
         self.opened += 1
         return await connect(
             address, self._connect_timeout_s, self._clock, self._held
@@ -331,3 +349,24 @@
                 self._idle[address] = kept
             else:
                 self._idle.pop(address)
+
+    def _take_idle(
+        self, address: str, limit_s: float, request_id: str
+    ) -> Connection | None:
+        """Returns the last used connection that is usable, if any.
+
+        Closes those that are not.
+        """
+        idle = self._idle.get(address, [])
+        passed_over: list[Connection] = []
+        found = None
+        while idle and found is None:
+            connection = idle.pop()
+            if connection.idle_s > limit_s or not connection.has_no_input():
+                connection.close()
+            elif connection.may_carry(request_id):
+                found = connection
+            else:
+                passed_over.append(connection)
+        idle.extend(reversed(passed_over))
+        return found
--- a/src/masticstage/forwarding/evidence.py
+++ b/src/masticstage/forwarding/evidence.py
@@ -7,7 +7,7 @@
 import attrs
 
 from masticstage.forwarding.routes import Route
-from masticstage.forwarding.wire import AnswerFacts
+from masticstage.forwarding.wire import AnswerFacts, NamedRequest
 
 
 @enum.unique
@@ -100,16 +100,25 @@
     """Returns what the head of an answer shows about the execution.
 
     An answer that names another request shows nothing about this one, even if
-    it states that the other did not run. A success that is unsigned or has a
-    content encoding does not count as the upstream's answer.
+    it states that the other did not run. A refusal that names none may be that
+    of another as well. A success that is unsigned or has a content encoding
+    does not count as the upstream's answer.
     """
     if not facts.matches_request:
         return Evidence.MAY_HAVE_RUN
     if facts.is_not_run:
-        return Evidence.NOT_RUN
+        return _classify_refusal(facts)
     return _classify_own_answer(facts)
 
 
+def _classify_refusal(facts: AnswerFacts) -> Evidence:
+    names_this = facts.named_request is NamedRequest.THIS
+    is_error = facts.status >= HTTPStatus.BAD_REQUEST
+    return (
+        Evidence.NOT_RUN if names_this and is_error else Evidence.MAY_HAVE_RUN
+    )
+
+
 def _classify_own_answer(facts: AnswerFacts) -> Evidence:
     if facts.is_encoded:
         return Evidence.MAY_HAVE_RUN
--- a/tests/forwarding/test_evidence.py
+++ b/tests/forwarding/test_evidence.py
@@ -95,6 +95,15 @@
             },
             Evidence.MAY_HAVE_RUN,
         ),
+        (
+            {
+                'status': 503,
+                'is_not_run': True,
+                'named_request': NamedRequest.NONE,
+            },
+            Evidence.MAY_HAVE_RUN,
+        ),
+        ({'status': 200, 'is_not_run': True}, Evidence.MAY_HAVE_RUN),
     ],
 )
 def test_only_a_signed_answer_to_this_request_counts_as_answered(
