Believe a peer's 'not run' only if its answer shows it

Callers saw: 503 for a call that was relayed to an instance of another version, whose upstream may have run it; with evidence that is not known here, a closed connection without an answer and an internal_error. Cause: the evidence in the header of a peer was taken as it is for 'not run' and 'not sent', also where the answer named another request (as programs before pass on), and an unknown word raised ValueError. Class: a conclusion of another process taken over without what it rests on. Evidence: test_a_peer_of_another_version_does_not_prove... failed before in its 4 cases. Change: classify_relayed_answer takes what is weaker, the peer's word or what its answer shows here; an unknown word or another id means that it may have run. A peer's own refusals of relays name the request; those of older programs name none, which still counts for 'not sent', since only a peer writes it.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -32,7 +32,11 @@
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.crash_causes import Causes
 from masticstage.forwarding.events import EventFramer
-from masticstage.forwarding.evidence import Evidence, classify_answer
+from masticstage.forwarding.evidence import (
+    Evidence,
+    classify_answer,
+    classify_relayed_answer,
+)
 from masticstage.forwarding.requests import (
     CallerRequest,
     CallKind,
@@ -423,19 +427,10 @@
 
 
 def _classify(head: AnswerHead, facts: AnswerFacts, choice: Choice) -> Evidence:
-    """Returns the evidence of an answer.
-
-    For a relayed request it is reported by the peer, but the head of an answer
-    is also classified here.
-    """
     if choice.candidate.via is None:
         return classify_answer(facts)
-    reported = dict(head.headers).get(EVIDENCE_HEADER)
-    if reported is None:
-        return Evidence.MAY_HAVE_RUN
-    evidence = Evidence(reported.decode('latin-1'))
-    is_answer = evidence in {Evidence.ANSWERED, Evidence.FAILED}
-    return classify_answer(facts) if is_answer else evidence
+    reported = dict(head.headers).get(EVIDENCE_HEADER, b'')
+    return classify_relayed_answer(reported.decode('latin-1'), facts)
 
 
 def _forwardable_head(head: AnswerHead) -> AnswerHead:
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -125,7 +125,7 @@
             'no upstream',
         )
         gateway.log.record('relay_refused', routed.request.request_id)
-        await _answer_with_evidence(reply, not_sent)
+        await _answer_with_evidence(gateway, routed, reply, not_sent)
         return
     if gateway.views.chooser.is_cold(choice.candidate.known_upstream):
         gateway.views.chooser.record_cold_dispatch(choice)
@@ -212,7 +212,7 @@
     idle_policy: IdlePolicy,
 ) -> None:
     if outcome.head is None:
-        await _answer_with_evidence(reply, outcome)
+        await _answer_with_evidence(gateway, routed, reply, outcome)
         return
     headers = (*outcome.head.headers, *_evidence_headers(outcome))
     if outcome.connection is None:
@@ -258,10 +258,17 @@
     """Records no times, since the sender of the relay records them."""
 
 
-async def _answer_with_evidence(reply: Reply, outcome: DispatchOutcome) -> None:
+async def _answer_with_evidence(
+    gateway: Gateway,
+    routed: RoutedRequest,
+    reply: Reply,
+    outcome: DispatchOutcome,
+) -> None:
+    """Answers a relay for which there is no answer of an upstream."""
+    named = gateway.wire.refusal_headers(routed.request.request_id, None)
     await reply.send_complete(
         HTTPStatus.SERVICE_UNAVAILABLE,
-        _evidence_headers(outcome),
+        (*named, *_evidence_headers(outcome)),
         outcome.reason.encode(),
     )
 
--- a/src/masticstage/forwarding/evidence.py
+++ b/src/masticstage/forwarding/evidence.py
@@ -26,6 +26,7 @@
     ANSWERED = 'answered'
 
 
+_EVIDENCE_OF_PEERS = frozenset(evidence.value for evidence in Evidence)
 _NOT_RUN_EVIDENCE = frozenset((Evidence.NOT_SENT, Evidence.NOT_RUN))
 #: Upstreams that may reject one request before the gateway refuses it.
 MAX_REJECTIONS = 4
@@ -111,6 +112,19 @@
     return _classify_own_answer(facts)
 
 
+def classify_relayed_answer(reported: str, facts: AnswerFacts) -> Evidence:
+    """Returns what the answer of a peer that relayed shows.
+
+    `reported` is the peer's evidence, empty if it gave none. What a peer of
+    another version concludes from an answer holds only if it follows here too.
+    """
+    if not facts.matches_request or reported not in _EVIDENCE_OF_PEERS:
+        return Evidence.MAY_HAVE_RUN
+    evidence = Evidence(reported)
+    is_without_answer = evidence in {Evidence.NOT_SENT, Evidence.MAY_HAVE_RUN}
+    return evidence if is_without_answer else classify_answer(facts)
+
+
 def _classify_refusal(facts: AnswerFacts) -> Evidence:
     names_this = facts.named_request is NamedRequest.THIS
     is_error = facts.status >= HTTPStatus.BAD_REQUEST
