Do not keep connections whose answer named no request

Callers saw: the whole, signed answer to another caller's request (MIXED), if an upstream wrote an answer without a request id and wrote it once more, late, on the kept connection. Cause: a missing id counted as matching, on any connection. Found by looking for the same cause elsewhere. Change: such an answer is still taken, but its connection carries no other request, so no copy of it can meet one.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -366,6 +366,9 @@
     evidence = _classify(head, facts, choice)
     if evidence is Evidence.NOT_RUN:
         connection.record_refusal(routed.request.request_id)
+    if choice.candidate.via is None and not facts.names_a_request:
+        # A late copy of this answer could not be told from the next one.
+        connection.forbid_reuse()
     record_notices_of_dispatch(
         gateway, choice, upstream, facts, routed.request.request_id
     )
--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -120,6 +120,10 @@
         """
         return request_id not in self._refused_ids
 
+    def forbid_reuse(self) -> None:
+        """Makes the connection close after the answer that is being read."""
+        self._is_unusable = True
+
     def has_no_input(self) -> bool:
         """Returns whether neither bytes nor the end of the stream arrived."""
         return not self._stream.has_input()
--- a/src/masticstage/forwarding/wire.py
+++ b/src/masticstage/forwarding/wire.py
@@ -69,6 +69,11 @@
     is_leaving: bool = False
     rest: timedelta = timedelta()
 
+    @property
+    def names_a_request(self) -> bool:
+        """Whether the answer names a request at all."""
+        return self.named_request is not NamedRequest.NONE
+
     @property
     def matches_request(self) -> bool:
         """Whether the answer names no other request."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -80,6 +80,10 @@
     #: when the next request on the connection has begun to run.
     NOT_RUN_TWICE = 'not-run-twice'
     UNNAMED_NOT_RUN_TWICE = 'unnamed-not-run-twice'
+    #: A whole answer that is written once more in the same way.
+    ANSWER_TWICE = 'answer-twice'
+    #: The same without a request id.
+    UNNAMED_ANSWER_TWICE = 'unnamed-answer-twice'
 
 
 _UNFRAMED_FAULTS: Final = frozenset(
@@ -108,6 +112,9 @@
 _REFUSALS_WRITTEN_TWICE: Final = frozenset(
     (Fault.NOT_RUN_TWICE, Fault.UNNAMED_NOT_RUN_TWICE)
 )
+_ANSWERS_WRITTEN_TWICE: Final = frozenset(
+    (Fault.ANSWER_TWICE, Fault.UNNAMED_ANSWER_TWICE)
+)
 #: Makes the kernel reset a connection that is closed.
 _RESET: Final = struct.pack('ii', 1, 0)
 
@@ -339,11 +346,9 @@
         request_id = fields['x-request-id']
         if fault is Fault.OTHER_ID:
             request_id = 'another'
-        headers = [
-            ('X-Request-Id', request_id),
-            ('X-Server-Load', '1,0,8'),
-            *self._notice(),
-        ]
+        headers = [('X-Server-Load', '1,0,8'), *self._notice()]
+        if fault is not Fault.UNNAMED_ANSWER_TWICE:
+            headers.append(('X-Request-Id', request_id))
         if fault is not Fault.UNSIGNED:
             headers.append(
                 ('X-Response-Signature', f'{self.name}.{request_id}')
@@ -370,13 +375,15 @@
         if fault is Fault.CUT:
             await _write(stream, parser, response, h11.Data(data=body[:3]))
             return False
-        await _write(
+        written = await _write(
             stream,
             parser,
             response,
             h11.Data(data=body),
             h11.EndOfMessage(),
         )
+        if fault in _ANSWERS_WRITTEN_TWICE:
+            self._late_copies[stream] = written
         if fault is Fault.EXTRA:
             await stream.send_all(
                 b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx'
--- a/tests/edges/test_run_once.py
+++ b/tests/edges/test_run_once.py
@@ -135,6 +135,26 @@
     check()
 
 
+@pytest.mark.parametrize('is_relayed', [False, True])
+@pytest.mark.parametrize(
+    'fault', [Fault.ANSWER_TWICE, Fault.UNNAMED_ANSWER_TWICE]
+)
+def test_an_answer_written_again_reaches_no_other_caller(fault, is_relayed):
+    """Guards against callers that get the answer to another request."""
+
+    @run_with_timeout
+    async def check():
+        async with _deploy(1, is_relayed=is_relayed) as deployment:
+            deployment.inject_faults(fault)
+            await deployment.request(b'/stock/1', b'order')
+            status, headers, _ = await deployment.request(b'/stock/1', b'order')
+
+            signature = headers.get(b'x-response-signature', b'')
+            assert status == 502 or signature.endswith(b'r-2')
+
+    check()
+
+
 @asynccontextmanager
 async def _peer_that_answers(deployment, far, answer):
     """Replaces a peer by one that answers every relay with these bytes."""
