Bound answers of the store in bytes and pages

Cause: the whole body of an answer was read without a bound but its time, up to several seconds of a fast link; pages that begin again were read for ever. Class: a reader that trusts the other side to end. Change: at most 8 MB are read, uncompressed; then AnswerTooLargeError, logged as platform_unavailable 'answer without end', and the known records stay. Changes that are too many for one answer are read page by page. Pages have to advance.

--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -7,6 +7,7 @@
 
 from masticstage.edges.gateway import Gateway
 from masticstage.exceptions import (
+    AnswerTooLargeError,
     HistoryLostError,
     PlatformBusyError,
     PlatformUnavailableError,
@@ -69,6 +70,8 @@
             gateway.log.record('platform_busy', reason=error.reason)
             await trio.sleep(_RETRY_INTERVAL_S)
         except PlatformUnavailableError as error:
+            # Changes that are too many for one answer are read page by page.
+            has_read_all &= not isinstance(error, AnswerTooLargeError)
             took_s = _record_failure(gateway, error, started_at)
             await trio.sleep(max(0, _RETRY_INTERVAL_S - took_s))
 
--- a/src/masticstage/exceptions.py
+++ b/src/masticstage/exceptions.py
@@ -289,6 +289,13 @@
     code = 'platform-busy'
 
 
+@attrs.define(eq=False)
+class AnswerTooLargeError(PlatformUnavailableError):
+    """An answer of the platform is larger than any that it may send."""
+
+    code = 'answer-too-large'
+
+
 @attrs.define(eq=False)
 class HistoryLostError(MasticstageError):
     """The platform no longer has the changes after a revision."""
--- a/src/masticstage/platform/store.py
+++ b/src/masticstage/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import json
 from http import HTTPStatus
 from typing import Any, Final, final
 
@@ -9,6 +10,7 @@
 import trio
 
 from masticstage.exceptions import (
+    AnswerTooLargeError,
     HistoryLostError,
     PlatformBusyError,
     PlatformUnavailableError,
@@ -19,6 +21,9 @@
 
 #: Timeout for one page when all records are read.
 _PAGE_TIMEOUT_S: Final = 1.5
+#: Largest answer that is read. A page holds at most about 1 MB of values, or a
+#: value of 1 MB besides, in base64.
+_MAX_ANSWER_BYTES: Final = 8_388_608
 _MS_PER_S: Final = 1000
 
 _Fields = dict[str, Any]
@@ -38,9 +43,9 @@
 
     Reads and watches use one kept connection, which is replaced after a call
     without an answer. Raises PlatformUnavailableError when the store does not
-    answer or its answer is malformed, PlatformBusyError when it rejects a call
-    for its rate limit, and HistoryLostError when it no longer has the changes
-    after a revision.
+    answer or its answer is malformed, AnswerTooLargeError when the answer has
+    no end, PlatformBusyError when the store rejects a call for its rate limit,
+    and HistoryLostError when it no longer has the changes after a revision.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
             trust_env=False,
             transport=transport,
             verify=False,  # noqa: S501
+            headers={'accept-encoding': 'identity'},
         )
 
     async def read_all(self) -> RecordUpdates:
@@ -77,6 +83,8 @@
             revision = revision or page.revision
             if not fields.get('MorePages') or not page.events:
                 return RecordUpdates(tuple(events), revision, is_snapshot=True)
+            if page.events[-1].key <= after:
+                raise PlatformUnavailableError('pages do not advance')
             after = page.events[-1].key
 
     async def watch(self, after: int, wait_s: float) -> RecordUpdates:
@@ -116,24 +124,41 @@
         """Calls the store; `timeout_s` is for the whole call."""
         try:
             with trio.fail_after(timeout_s):
-                response = await self._client.get(
+                async with self._client.stream(
+                    'GET',
                     self._address + path,
                     params=query,
                     headers=headers,
                     timeout=timeout_s,
-                )
+                ) as response:
+                    body = await _read_body(response)
         except trio.TooSlowError as error:
             raise PlatformUnavailableError('timed out') from error
         except httpx.HTTPError as error:
             raise PlatformUnavailableError(type(error).__name__) from error
-        return _read_fields(response)
+        if response.status_code != HTTPStatus.OK:
+            raise _failure(response.status_code)
+        return _read_fields(body)
 
 
-def _read_fields(response: httpx.Response) -> _Fields:
-    if response.status_code != HTTPStatus.OK:
-        raise _failure(response.status_code)
+async def _read_body(response: httpx.Response) -> bytes:
+    """Reads a body that is not encoded, as it was asked for.
+
+    Raises AnswerTooLargeError once it is larger than any sound one.
+    """
+    if 'content-encoding' in response.headers:
+        raise PlatformUnavailableError('encoded answer')
+    body = bytearray()
+    async for chunk in response.aiter_bytes():
+        body += chunk
+        if len(body) > _MAX_ANSWER_BYTES:
+            raise AnswerTooLargeError('answer without end')
+    return bytes(body)
+
+
+def _read_fields(body: bytes) -> _Fields:
     try:
-        fields: _Fields = response.json()
+        fields: _Fields = json.loads(body)
     except ValueError as error:
         raise PlatformUnavailableError('malformed answer') from error
     return fields
