Bound the bodies that the product's own interface reads whole

What would be seen: an instance that runs out of memory when an application, an engine asked for its load, or the platform sends a body without end. Cause: httpx reads a body whole; its time-out is for each read, so that a body that goes on is read for ever. The same cause as in the store client, found by looking for readers without a bound. Change: read_bounded, used by the clients of upstreams, of the platform and of the store; 4 MB of a call, 8 MB of the platform. A call that is cut has the outcome 'unknown'.

--- a/src/masticstage/exceptions.py
+++ b/src/masticstage/exceptions.py
@@ -289,6 +289,14 @@
     code = 'platform-busy'
 
 
+@attrs.define(eq=False)
+class EndlessBodyError(MasticstageError):
+    """The body of an answer is larger than that of any sound one."""
+
+    code = 'body-endless'
+    max_bytes: int
+
+
 @attrs.define(eq=False)
 class AnswerTooLargeError(PlatformUnavailableError):
     """An answer of the platform is larger than any that it may send."""
--- a/src/masticstage/platform/store.py
+++ b/src/masticstage/platform/store.py
@@ -9,8 +9,10 @@
 import httpx
 import trio
 
+from masticstage.bounded_bodies import read_bounded
 from masticstage.exceptions import (
     AnswerTooLargeError,
+    EndlessBodyError,
     HistoryLostError,
     PlatformBusyError,
     PlatformUnavailableError,
@@ -148,12 +150,10 @@
     """
     if 'content-encoding' in response.headers:
         raise PlatformUnavailableError('encoded answer')
-    body = bytearray()
-    async for chunk in response.aiter_bytes():
-        body += chunk
-        if len(body) > _MAX_ANSWER_BYTES:
-            raise AnswerTooLargeError('answer without end')
-    return bytes(body)
+    try:
+        return await read_bounded(response, _MAX_ANSWER_BYTES)
+    except EndlessBodyError as error:
+        raise AnswerTooLargeError('answer without end') from error
 
 
 def _read_fields(body: bytes) -> _Fields:
--- a/src/masticstage/platform_client.py
+++ b/src/masticstage/platform_client.py
@@ -4,12 +4,17 @@
 live and leaving instances and upstreams; it may be out of date.
 """
 
+import json
 from typing import Any, Final, final
 
 import attrs
 import httpx
 
-from masticstage.exceptions import PlatformUnavailableError
+from masticstage.bounded_bodies import read_bounded
+from masticstage.exceptions import (
+    EndlessBodyError,
+    PlatformUnavailableError,
+)
 from masticstage.membership import Liveness, Member, MemberId
 from masticstage.rollout import Offer
 from masticstage.upstream_table import LoadReport
@@ -18,6 +23,8 @@
 WATCH_TIMEOUT_S: Final = 10
 #: Timeout of an answer, besides the duration of a long poll.
 _ANSWER_TIMEOUT_S: Final = 3.0
+#: Largest answer that is read: a configuration or a directory of all instances.
+_MAX_ANSWER_BYTES: Final = 8_388_608
 #: Incarnation of an instance known from the directory only, below all others.
 _UNKNOWN_INCARNATION: Final = 0
 
@@ -81,14 +88,16 @@
     ) -> dict[str, Any]:
         timeout_s = query.get('wait_s', 0) + _ANSWER_TIMEOUT_S
         try:
-            response = await self._client.get(
+            async with self._client.stream(
+                'GET',
                 path,
                 params=query,
                 timeout=timeout_s,
-            )
-            response.raise_for_status()
-            fields: dict[str, Any] = response.json()
-        except (httpx.HTTPError, ValueError) as error:
+            ) as response:
+                response.raise_for_status()
+                body = await read_bounded(response, _MAX_ANSWER_BYTES)
+            fields: dict[str, Any] = json.loads(body)
+        except (httpx.HTTPError, EndlessBodyError, ValueError) as error:
             reason = type(error).__name__
             raise PlatformUnavailableError(reason) from error
         return fields
--- a/src/masticstage/upstream_client.py
+++ b/src/masticstage/upstream_client.py
@@ -1,5 +1,6 @@
 """Calls to model engines and applications over HTTP."""
 
+import json
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from datetime import timedelta
@@ -7,8 +8,10 @@
 
 import httpx
 
+from masticstage.bounded_bodies import read_bounded
 from masticstage.configuration_schema import Upstream
 from masticstage.exceptions import (
+    EndlessBodyError,
     UpstreamFailedError,
     UpstreamRefusedError,
 )
@@ -18,6 +21,15 @@
 
 _CONNECT_TIMEOUT_S: Final = 1.0
 _LOAD_TIMEOUT_S: Final = 1.0
+#: Largest body that is held whole.
+_MAX_BODY_BYTES: Final = 4_194_304
+_LOAD_ERRORS: Final = (
+    httpx.HTTPError,
+    EndlessBodyError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
 #: Failures before the first byte of a request was written.
 _NOTHING_SENT: Final = (
     httpx.ConnectError,
@@ -76,7 +88,7 @@
         """
         client = self._client if request.kind.idempotent else self._single_use
         try:
-            response = await client.request(
+            async with client.stream(
                 request.method,
                 f'{upstream.address}{request.target}',
                 content=request.body,
@@ -85,15 +97,16 @@
                     timeout.total_seconds(),
                     connect=_CONNECT_TIMEOUT_S,
                 ),
-            )
+            ) as response:
+                body = await read_bounded(response, _MAX_BODY_BYTES)
         except _NOTHING_SENT as error:
             raise UpstreamRefusedError(upstream.name) from error
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, EndlessBodyError) as error:
             raise _upstream_failure(upstream, error) from error
         return Answer(
             response.status_code,
             response.headers.get('Content-Type', JSON_TYPE),
-            response.content,
+            body,
         )
 
     @asynccontextmanager
@@ -150,11 +163,13 @@
     async def read_load(self, upstream: Upstream) -> LoadReport:
         """Reads the load that an upstream reports."""
         try:
-            response = await self._client.get(
+            async with self._client.stream(
+                'GET',
                 f'{upstream.address}/load',
                 timeout=_LOAD_TIMEOUT_S,
-            )
-            fields = response.json()
+            ) as response:
+                body = await read_bounded(response, _MAX_BODY_BYTES)
+            fields = json.loads(body)
             return LoadReport(
                 upstream.name,
                 int(fields['incarnation']),
@@ -162,7 +177,7 @@
                 int(fields['queued']),
                 int(fields['running']),
             )
-        except (httpx.HTTPError, KeyError, TypeError, ValueError) as error:
+        except _LOAD_ERRORS as error:
             raise _upstream_failure(upstream, error) from error
 
 
