--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -52,9 +52,9 @@
     """A caller's request with the state of its attempts.
 
     `deadline` is on the monotonic clock.  `media_type` is that of the stream
-    that has begun.  `reason` and `retry_after` describe
-    the refusal that is sent if no further upstream can be tried,
-    `unknown_reason` the failure if an upstream may have run the request.
+    that has begun.  `reason` and `retry_after` describe the refusal that is
+    sent if no further upstream can be tried and none may have run the request;
+    `unknown_reason` is sent if one may have.
     """
 
     gateway: Gateway
