--- a/tests/edges/test_run_once.py
+++ b/tests/edges/test_run_once.py
@@ -1,6 +1,6 @@
 """Tests of what callers are told about requests that may run only once."""
 
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import attrs
 import pytest
@@ -208,3 +208,49 @@
                 assert status == 502
 
     check()
+
+
+@run_with_timeout
+async def test_a_relay_that_is_never_answered_may_have_run():
+    """Guards against `not run` of a call that a frozen peer runs later."""
+    async with deploy_two_regions(_unsafe_table(), 1) as (deployment, far):
+        async with _peer_that_answers(deployment, far, b''):
+            status, _, _ = await deployment.request(b'/stock/1', b'order')
+            assert status == 504
+
+
+@pytest.mark.parametrize('is_relayed', [False, True])
+def test_a_stream_goes_on_elsewhere_only_after_its_first_upstream_has_stopped(
+    is_relayed,
+):
+    """Guards against two upstreams that work on one request."""
+    order = [Fault.SILENT]
+    run_times_s = []
+
+    def draw_fault():
+        return order.pop() if order else Fault.NONE
+
+    def record_run(_):
+        run_times_s.append(trio.current_time())
+
+    @run_with_timeout
+    async def check():
+        async with AsyncExitStack() as stack:
+            if is_relayed:
+                deployment, _ = await stack.enter_async_context(
+                    deploy_two_regions()
+                )
+            else:
+                deployment = await stack.enter_async_context(deploy_entry())
+            for replica in deployment.replicas.values():
+                replica.draw_fault = draw_fault
+                replica.on_run = record_run
+            await deployment.request(b'/ask/1', b'question', *_PROMPT)
+            assert len(run_times_s) == 2
+            await trio.sleep(run_times_s[1] + 0.4 - trio.current_time())
+            assert not any(
+                replica.open_requests
+                for replica in deployment.replicas.values()
+            )
+
+    check()
