Forget a deferred removal that is applied otherwise

Cause: a removal that comes again and applies at once left its key among the deferred ones. Evidence: test_a_deferred_removal_that_is_applied_otherwise_is_forgotten[False] failed before with KeyError; with an unreadable record it passed. Result: the tests of the view pass.

--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -105,6 +105,7 @@
         if apply_at is None or apply_at > self._clock.elapsed():
             self._deferred_removals[key] = apply_at
             return f'removal of {upstream.record.name} deferred'
+        self._deferred_removals.pop(key, None)
         self._upstreams.pop(key)
         return f'upstream {upstream.record.name} gone'
 
--- a/tests/forwarding/test_view.py
+++ b/tests/forwarding/test_view.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+import pytest
+
 from masticstage.clock import ManualClock, milliseconds
 from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.published import Evacuation, Unreadable
@@ -118,3 +120,23 @@
 
     assert known is not None
     assert known.cold_until == milliseconds(2500)
+
+
+@pytest.mark.parametrize('is_unreadable', [False, True])
+def test_a_deferred_removal_that_is_applied_otherwise_is_forgotten(
+    is_unreadable,
+):
+    """Guards against a KeyError that ends the task of the ticks."""
+    clock = ManualClock()
+    view = FleetView(clock)
+    view.apply('u', build_record())
+    view.remove('u', None)
+    if is_unreadable:
+        view.apply('u', Unreadable('no address'))
+    else:
+        view.remove('u', clock.elapsed())
+
+    clock.advance(SECOND)
+
+    assert not view.apply_due_removals(clock.elapsed())
+    assert not view.all_upstreams()
