Limit the reuse of connections to upstreams only, not to peers

A relay whose upstream refused may be repeated through the same peer; passing over its kept connection costs a new one, 110 ms between regions. A peer writes each answer once, and the peer's own connection to the upstream is guarded.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -364,11 +364,8 @@
     )
     _record_reported_state(gateway, choice, facts)
     evidence = _classify(head, facts, choice)
-    if evidence is Evidence.NOT_RUN:
-        connection.record_refusal(routed.request.request_id)
-    if choice.candidate.via is None and not facts.names_a_request:
-        # A late copy of this answer could not be told from the next one.
-        connection.forbid_reuse()
+    if choice.candidate.via is None:
+        _limit_reuse(connection, routed, evidence, facts)
     record_notices_of_dispatch(
         gateway, choice, upstream, facts, routed.request.request_id
     )
@@ -396,6 +393,22 @@
     )
 
 
+def _limit_reuse(
+    connection: Connection,
+    routed: RoutedRequest,
+    evidence: Evidence,
+    facts: AnswerFacts,
+) -> None:
+    """Keeps a late copy of an upstream's answer from meeting another request.
+
+    Peers write each answer once.
+    """
+    if evidence is Evidence.NOT_RUN:
+        connection.record_refusal(routed.request.request_id)
+    if not facts.names_a_request:
+        connection.forbid_reuse()
+
+
 async def _open_stream(
     connection: Connection,
     head: AnswerHead,
