Split the dispatch: what it is, how it ends, what is logged

Its types are in dispatch_outcome, what is logged and learnt of a dispatch in dispatch_log; no behaviour is changed.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -7,12 +7,17 @@
     nullcontext,
 )
 from datetime import timedelta
-from typing import Final, final
+from typing import Final
 
-import attrs
 import trio
 
 from masticstage.edges.answer_parser import AnswerHead
+from masticstage.edges.dispatch_log import record_dispatch, record_outcome
+from masticstage.edges.dispatch_outcome import (
+    AnswerBasis,
+    DispatchOutcome,
+    RoutedRequest,
+)
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.http_client import (
     Connection,
@@ -20,35 +25,21 @@
     OutgoingRequest,
 )
 from masticstage.edges.messages import encode_relay
-from masticstage.edges.notices import (
-    describe_notices,
-    record_notices_of_dispatch,
-)
+from masticstage.edges.notices import record_notices_of_dispatch
 from masticstage.exceptions import (
     BrokenConnectionError,
     ConnectError,
     UpstreamFailedError,
 )
 from masticstage.forwarding.candidates import Choice
-from masticstage.forwarding.crash_causes import Causes
 from masticstage.forwarding.events import EventFramer
 from masticstage.forwarding.evidence import (
     Evidence,
     classify_answer,
     classify_relayed_answer,
 )
-from masticstage.forwarding.requests import (
-    CallerRequest,
-    CallKind,
-    Headers,
-    Prompt,
-)
-from masticstage.forwarding.routes import Route
-from masticstage.forwarding.wire import (
-    AnswerFacts,
-    DispatchOptions,
-    NamedRequest,
-)
+from masticstage.forwarding.requests import Headers
+from masticstage.forwarding.wire import AnswerFacts, DispatchOptions
 
 RELAY_PATH: Final = b'/relay'
 EVIDENCE_HEADER: Final = b'masticstage-evidence'
@@ -65,68 +56,6 @@
 _MAX_IDLE_S: Final = 60
 
 
-@attrs.frozen
-class RoutedRequest:
-    """A request with its route, service and the upstreams already tried.
-
-    `causes` are its possible causes of a crash.
-    """
-
-    request: CallerRequest
-    route: Route
-    service: str
-    fingerprint: str
-    causes: Causes
-    tried: frozenset[str] = frozenset()
-
-    @property
-    def is_stream(self) -> bool:
-        """Whether events are forwarded as they arrive."""
-        return self.route.kind is CallKind.STREAMING
-
-
-@attrs.frozen
-class AnswerBasis:
-    """What shows to which request an answer belongs, for the log."""
-
-    status: int
-    named_request: NamedRequest
-    is_not_run: bool
-    is_reused: bool
-
-
-@final
-@attrs.define(eq=False)
-class DispatchOutcome:
-    """How a dispatch ended, with the answer if there is one.
-
-    `upstream` is the one that was used, since a relaying peer may choose
-    another.  `body` is the complete body.  If `connection` is set, the answer
-    is a stream that is still open, and `body` holds its first complete events.
-    `basis` is what the evidence of an answer was taken from.
-    """
-
-    evidence: Evidence
-    upstream: str
-    reason: str = ''
-    head: AnswerHead | None = None
-    body: bytes = b''
-    connection: Connection | None = None
-    pool: ConnectionPool | None = None
-    basis: AnswerBasis | None = None
-
-    def close(self) -> None:
-        """Closes an open stream, which cancels the upstream's work on it."""
-        if self.connection is not None:
-            self.connection.close()
-
-    def release(self) -> None:
-        """Returns the connection of a completed stream to its pool."""
-        if self.pool is not None and self.connection is not None:
-            self.pool.release(self.connection)
-            self.connection = None
-
-
 async def dispatch(
     gateway: Gateway,
     routed: RoutedRequest,
@@ -140,21 +69,7 @@
     `timeout` bounds the time to a complete answer or to the first event of a
     stream.
     """
-    gateway.log.record(
-        'dispatched',
-        routed.request.request_id,
-        upstream=choice.upstream,
-        via=(
-            choice.candidate.via.identity.name if choice.candidate.via else None
-        ),
-        expected_ms=round(choice.expected_s * 1000),
-        remaining_ms=options.remaining // timedelta(milliseconds=1),
-        in_flight=choice.candidate.counters.in_flight,
-        bound_ms=timeout // timedelta(milliseconds=1),
-        tried=sorted(routed.tried),
-        left_out=describe_notices(gateway.views.fleet, routed.service),
-        **_prompt_fields(routed.request.prompt, choice),
-    )
+    record_dispatch(gateway, routed, choice, options, timeout)
     started_s = gateway.elapsed_s()
     with _count_pending_tokens(choice, routed.route.priority):
         outcome = await _send_and_read(
@@ -165,7 +80,7 @@
             framer,
             timeout,
         )
-    _record_outcome(
+    record_outcome(
         gateway,
         routed,
         choice,
@@ -175,22 +90,6 @@
     return outcome
 
 
-def _prompt_fields(prompt: Prompt, choice: Choice) -> dict[str, object]:
-    """Returns what was assumed about the prompt, for the log."""
-    if not prompt.tokens_in:
-        return {}
-    prefix = prompt.shared_prefix
-    return {
-        'prefix': prefix[-1].part_id if prefix else '',
-        'parts': [part.part_id for part in prefix],
-        'tokens_in': prompt.tokens_in,
-        'uncached': choice.uncached_tokens,
-        'unverified': choice.unverified_tokens,
-        'backlog': round(choice.backlog_tokens),
-        'fetch_from': choice.fetch_from,
-    }
-
-
 @contextmanager
 def count_in_flight(choice: Choice) -> Iterator[None]:
     """Counts a request as in flight at an upstream."""
@@ -470,78 +369,3 @@
         gateway.views.loads.record_report(choice.candidate.state, facts.load)
     if facts.cold_for:
         gateway.views.fleet.record_warm_up(choice.upstream, facts.cold_for)
-
-
-def _record_outcome(
-    gateway: Gateway,
-    routed: RoutedRequest,
-    choice: Choice,
-    outcome: DispatchOutcome,
-    took_s: float,
-) -> None:
-    """Logs the end of a dispatch; updates the load and health state."""
-    loads = gateway.views.loads
-    state = choice.candidate.state
-    gateway.log.record(
-        'dispatch_ended',
-        routed.request.request_id,
-        upstream=outcome.upstream,
-        evidence=outcome.evidence.value,
-        reason=outcome.reason,
-        status=outcome.head.status if outcome.head else None,
-        took_ms=round(took_s * 1000),
-        **_basis_fields(outcome),
-    )
-    if outcome.upstream != choice.upstream:
-        # The peer chose another upstream. Its region reports the load on that.
-        return
-    is_relayed = choice.candidate.via is not None
-    if outcome.evidence is Evidence.ANSWERED:
-        if outcome.connection is None:
-            gateway.record_answer(routed.causes)
-        loads.record_outcome(state, is_failure=False, is_relayed=is_relayed)
-        prompt = routed.request.prompt
-        state.cache.record_prefill(prompt)
-        if not is_relayed:
-            gateway.views.prefix_reports.observe(
-                choice.upstream, prompt.shared_prefix
-            )
-            _record_times(gateway, routed, choice, took_s)
-        return
-    is_failure = outcome.evidence is not Evidence.NOT_RUN
-    loads.record_outcome(state, is_failure=is_failure, is_relayed=is_relayed)
-
-
-def _basis_fields(outcome: DispatchOutcome) -> dict[str, object]:
-    """Returns what the evidence was taken from, for the log.
-
-    An answer that was forwarded needs no explanation.
-    """
-    basis = outcome.basis
-    if basis is None or outcome.evidence is Evidence.ANSWERED:
-        return {}
-    return {
-        'answer_status': basis.status,
-        'answer_names': basis.named_request.value,
-        'says_not_run': basis.is_not_run,
-        'reused': basis.is_reused,
-    }
-
-
-def _record_times(
-    gateway: Gateway,
-    routed: RoutedRequest,
-    choice: Choice,
-    took_s: float,
-) -> None:
-    """Records how long a direct dispatch took, for later predictions."""
-    gateway.views.loads.record_latency_ratio(
-        choice.candidate.state,
-        choice.candidate.state.latency_ratio * took_s / choice.expected_s,
-    )
-    if routed.is_stream:
-        gateway.views.chooser.record_first_event(
-            choice, routed.request.prompt, routed.route.priority, took_s
-        )
-    else:
-        gateway.views.chooser.record_call(choice, took_s)
--- /dev/null
+++ b/src/masticstage/edges/dispatch_outcome.py
@@ -0,0 +1,75 @@
+"""What is dispatched, and how a dispatch ended."""
+
+from typing import final
+
+import attrs
+
+from masticstage.edges.answer_parser import AnswerHead
+from masticstage.edges.http_client import Connection, ConnectionPool
+from masticstage.forwarding.crash_causes import Causes
+from masticstage.forwarding.evidence import Evidence
+from masticstage.forwarding.requests import CallerRequest, CallKind
+from masticstage.forwarding.routes import Route
+from masticstage.forwarding.wire import NamedRequest
+
+
+@attrs.frozen
+class RoutedRequest:
+    """A request with its route, service and the upstreams already tried.
+
+    `causes` are its possible causes of a crash.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: str
+    fingerprint: str
+    causes: Causes
+    tried: frozenset[str] = frozenset()
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether events are forwarded as they arrive."""
+        return self.route.kind is CallKind.STREAMING
+
+
+@attrs.frozen
+class AnswerBasis:
+    """What shows to which request an answer belongs, for the log."""
+
+    status: int
+    named_request: NamedRequest
+    is_not_run: bool
+    is_reused: bool
+
+
+@final
+@attrs.define(eq=False)
+class DispatchOutcome:
+    """How a dispatch ended, with the answer if there is one.
+
+    `upstream` is the one that was used, since a relaying peer may choose
+    another.  `body` is the complete body.  If `connection` is set, the answer
+    is a stream that is still open, and `body` holds its first complete events.
+    `basis` is what the evidence of an answer was taken from.
+    """
+
+    evidence: Evidence
+    upstream: str
+    reason: str = ''
+    head: AnswerHead | None = None
+    body: bytes = b''
+    connection: Connection | None = None
+    pool: ConnectionPool | None = None
+    basis: AnswerBasis | None = None
+
+    def close(self) -> None:
+        """Closes an open stream, which cancels the upstream's work on it."""
+        if self.connection is not None:
+            self.connection.close()
+
+    def release(self) -> None:
+        """Returns the connection of a completed stream to its pool."""
+        if self.pool is not None and self.connection is not None:
+            self.pool.release(self.connection)
+            self.connection = None
--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from masticstage.edges.dispatch import DispatchOutcome, RoutedRequest
+from masticstage.edges.dispatch_outcome import DispatchOutcome, RoutedRequest
 from masticstage.edges.gateway import BrokenRequests, Gateway
 from masticstage.edges.http_client import OutgoingRequest, connect
 from masticstage.edges.notices import record_leaving, record_rest
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -13,11 +13,10 @@
     EVIDENCE_HEADER,
     RELAY_PATH,
     UPSTREAM_HEADER,
-    DispatchOutcome,
-    RoutedRequest,
     count_in_flight,
     dispatch,
 )
+from masticstage.edges.dispatch_outcome import DispatchOutcome, RoutedRequest
 from masticstage.edges.exchange import answer_message
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.health_checks import update_upstream_health
--- a/src/masticstage/edges/refusals.py
+++ b/src/masticstage/edges/refusals.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from masticstage.edges.dispatch import RoutedRequest
+from masticstage.edges.dispatch_outcome import RoutedRequest
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.http_server import Reply
 from masticstage.forwarding.crash_causes import possible_causes
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -7,12 +7,8 @@
 import attrs
 import trio
 
-from masticstage.edges.dispatch import (
-    DispatchOutcome,
-    RoutedRequest,
-    count_in_flight,
-    dispatch,
-)
+from masticstage.edges.dispatch import count_in_flight, dispatch
+from masticstage.edges.dispatch_outcome import DispatchOutcome, RoutedRequest
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.health_checks import update_upstream_health
 from masticstage.edges.http_server import Reply
--- a/src/masticstage/edges/streaming.py
+++ b/src/masticstage/edges/streaming.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from masticstage.edges.dispatch import DispatchOutcome, RoutedRequest
+from masticstage.edges.dispatch_outcome import DispatchOutcome, RoutedRequest
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.health_checks import is_healthy
 from masticstage.edges.http_client import Connection
--- a/tests/edges/test_streaming.py
+++ b/tests/edges/test_streaming.py
@@ -7,7 +7,7 @@
 import trio
 
 from masticstage.clock import milliseconds
-from masticstage.edges.dispatch import DispatchOutcome
+from masticstage.edges.dispatch_outcome import DispatchOutcome
 from masticstage.edges.streaming import (
     IdlePolicy,
     StreamTimes,
