Handle early signals in masticstage-instance as well

The same cause as in the entry instance: SIGTERM and SIGHUP during the imports ended the process by the signal. Evidence: 6 new cases of test_early_signals failed on (status -1, -15, or a KeyboardInterrupt). Change: the program handles them first; what it runs is in instance_start.

--- a/src/masticstage/instance_program.py
+++ b/src/masticstage/instance_program.py
@@ -1,37 +1,15 @@
 """The program masticstage-instance: an instance of the gateway."""
 
-import sys
-from pathlib import Path
-
-import fire
-import trio
-from returns.result import Failure, Success
-
-from masticstage.documents import print_faults
-from masticstage.exits import Exit
-from masticstage.lifecycle import run_instance
-from masticstage.logs import configure_logs
-from masticstage.settings import load_settings
-
-
-def run(settings: str) -> None:
-    """Runs an instance until SIGTERM or SIGINT has drained it.
-
-    Args:
-        settings: path of the settings file (TOML).
-
-    """
-    match load_settings(Path(settings)):
-        case Success(loaded):
-            configure_logs(loaded.instance.name)
-            trio.run(run_instance, loaded)
-        case Failure(faults):
-            print_faults(faults)
-            sys.exit(Exit.BAD_INPUT)
+from masticstage.early_signals import handle_early_signals
 
 
 def main() -> None:
     """Entry point of the program."""
+    handle_early_signals()
+    import fire  # noqa: PLC0415
+
+    from masticstage.instance_start import run  # noqa: PLC0415
+
     fire.Fire(run)
 
 
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -23,14 +23,22 @@
 sys.meta_path.insert(0, SendSignal)
 runpy.{run}
 """
-_PROGRAMS = (
-    "run_path('src/masticstage_entry.py', run_name='__main__')",
-    "run_module('masticstage.entry_program', run_name='__main__')",
-)
+_ENTRY = "run_path('src/masticstage_entry.py', run_name='__main__')"
+_ENTRY_PROGRAM = "run_module('masticstage.entry_program', run_name='__main__')"
+_INSTANCE = "run_module('masticstage.instance_program', run_name='__main__')"
 
 
-@pytest.mark.parametrize('program', _PROGRAMS)
-@pytest.mark.parametrize('module', ['trio', 'masticstage.edges.lifecycle'])
+@pytest.mark.parametrize(
+    ('program', 'module'),
+    [
+        (_ENTRY, 'trio'),
+        (_ENTRY, 'masticstage.edges.lifecycle'),
+        (_ENTRY_PROGRAM, 'trio'),
+        (_ENTRY_PROGRAM, 'masticstage.edges.lifecycle'),
+        (_INSTANCE, 'trio'),
+        (_INSTANCE, 'masticstage.lifecycle'),
+    ],
+)
 @pytest.mark.parametrize(
     ('number', 'status'),
     [(signal.SIGHUP, Exit.BAD_INPUT), (signal.SIGTERM, 0), (signal.SIGINT, 0)],
