--- a/tests/forwarding/test_evidence.py
+++ b/tests/forwarding/test_evidence.py
@@ -111,3 +111,29 @@
     evidence,
 ):
     assert classify_answer(attrs.evolve(_VALID_ANSWER, **changes)) is evidence
+
+
+@given(
+    facts=st.builds(
+        AnswerFacts,
+        st.integers(200, 599),
+        named_request=st.sampled_from(NamedRequest),
+        is_not_run=st.booleans(),
+        is_signed=st.booleans(),
+        is_encoded=st.booleans(),
+    )
+)
+def test_a_caller_is_told_not_run_only_by_a_statement_about_its_request(facts):
+    """Guards against a promise that rests on a status or on another answer."""
+    is_stated = (
+        facts.is_not_run
+        and facts.named_request is NamedRequest.THIS
+        and facts.status >= 400
+    )
+    history = AttemptHistory(_UNSAFE)
+    history.record('u-1', classify_answer(facts))
+
+    assert history.may_have_run is not is_stated
+    assert history.may_dispatch() is is_stated
+    if facts.status in {408, 421, 429, 503}:
+        assert not history.may_return(facts.status)
