--- a/src/masticstage/edges/byte_stream.py
+++ b/src/masticstage/edges/byte_stream.py
@@ -5,6 +5,7 @@
 small messages both save a system call and a pass of the scheduler.
 """
 
+import select
 import socket
 from typing import Final, final
 
@@ -96,6 +97,17 @@
             return True
         return True
 
+    def has_ended(self) -> bool:
+        """Returns whether the other side has ended or reset the connection.
+
+        Also if bytes that have not been received lie before the end.
+        """
+        if self._socket.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(self._socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         """Closes the socket at once; waiting tasks get an exception."""
         if self._socket.fileno() >= 0:
--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -24,6 +24,7 @@
     ConnectionPool,
     OutgoingRequest,
 )
+from masticstage.edges.http_server import Reply
 from masticstage.edges.messages import encode_relay
 from masticstage.edges.notices import record_notices_of_dispatch
 from masticstage.exceptions import (
@@ -63,13 +64,14 @@
     options: DispatchOptions,
     framer: EventFramer,
     timeout: timedelta,
+    reply: Reply,
 ) -> DispatchOutcome:
     """Sends a request to the chosen upstream and records the outcome.
 
     `timeout` bounds the time to a complete answer or to the first event of a
-    stream.
+    stream. `reply` is to the caller, or to the peer that relays its request.
     """
-    record_dispatch(gateway, routed, choice, options, timeout)
+    record_dispatch(gateway, routed, choice, options, timeout, reply)
     started_s = gateway.elapsed_s()
     with _count_pending_tokens(choice, routed.route.priority):
         outcome = await _send_and_read(
--- a/src/masticstage/edges/http_server.py
+++ b/src/masticstage/edges/http_server.py
@@ -43,6 +43,64 @@
         self.status = status
 
 
+@final
+@attrs.define(eq=False)
+class _CallerInput:
+    """What a caller sends, received by a task of its own.
+
+    That task always waits for input, so it notices a disconnect while a request
+    is handled.  It receives more only after what it has received was taken.
+    """
+
+    _stream: ByteStream
+    has_ended: bool = False
+    _received: bytes = b''
+    _handling: trio.CancelScope | None = None
+    _arrived: trio.lowlevel.ParkingLot = attrs.field(
+        factory=trio.lowlevel.ParkingLot
+    )
+    _taken: trio.lowlevel.ParkingLot = attrs.field(
+        factory=trio.lowlevel.ParkingLot
+    )
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that were received and not taken."""
+        return len(self._received)
+
+    async def receive_until_end(self) -> None:
+        """Receives until the caller disconnects."""
+        while not self.has_ended:
+            try:
+                self._received = await self._stream.receive()
+            except _DISCONNECT_ERRORS:
+                self._received = b''
+            self.has_ended = not self._received
+            if self.has_ended and self._handling is not None:
+                self._handling.cancel()
+            self._arrived.unpark()
+            if self._received:
+                await self._taken.park()
+
+    async def take(self) -> bytes:
+        """Returns received bytes; empty at the end of the stream."""
+        if not self._received and not self.has_ended:
+            await self._arrived.park()
+        received = self._received
+        self._received = b''
+        self._taken.unpark()
+        return received
+
+    async def await_handler(self, respond: Awaitable[None]) -> None:
+        """Awaits the handling of a request until the caller disconnects."""
+        with trio.CancelScope() as scope:
+            self._handling = scope
+            try:
+                await respond
+            finally:
+                self._handling = None
+
+
 @final
 @attrs.define(eq=False)
 class Reply:
@@ -53,10 +111,20 @@
 
     _http: h11.Connection
     _stream: ByteStream
+    _input: _CallerInput
     _must_close: Callable[[], bool]
     is_started: bool = False
     _unsent: bytes = b''
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that the caller has sent after its request."""
+        return self._input.held_bytes
+
+    def has_caller_left(self) -> bool:
+        """Returns whether the caller has ended the connection."""
+        return self._input.has_ended or self._stream.has_ended()
+
     async def send_complete(
         self,
         status: int,
@@ -110,59 +178,6 @@
 RequestHandler = Callable[[RawRequest, Reply], Awaitable[None]]
 
 
-@final
-@attrs.define(eq=False)
-class _CallerInput:
-    """What a caller sends, received by a task of its own.
-
-    That task always waits for input, so it notices a disconnect while a request
-    is handled.  It receives more only after what it has received was taken.
-    """
-
-    _stream: ByteStream
-    has_ended: bool = False
-    _received: bytes = b''
-    _handling: trio.CancelScope | None = None
-    _arrived: trio.lowlevel.ParkingLot = attrs.field(
-        factory=trio.lowlevel.ParkingLot
-    )
-    _taken: trio.lowlevel.ParkingLot = attrs.field(
-        factory=trio.lowlevel.ParkingLot
-    )
-
-    async def receive_until_end(self) -> None:
-        """Receives until the caller disconnects."""
-        while not self.has_ended:
-            try:
-                self._received = await self._stream.receive()
-            except _DISCONNECT_ERRORS:
-                self._received = b''
-            self.has_ended = not self._received
-            if self.has_ended and self._handling is not None:
-                self._handling.cancel()
-            self._arrived.unpark()
-            if self._received:
-                await self._taken.park()
-
-    async def take(self) -> bytes:
-        """Returns received bytes; empty at the end of the stream."""
-        if not self._received and not self.has_ended:
-            await self._arrived.park()
-        received = self._received
-        self._received = b''
-        self._taken.unpark()
-        return received
-
-    async def await_handler(self, respond: Awaitable[None]) -> None:
-        """Awaits the handling of a request until the caller disconnects."""
-        with trio.CancelScope() as scope:
-            self._handling = scope
-            try:
-                await respond
-            finally:
-                self._handling = None
-
-
 @final
 @attrs.define(eq=False)
 class ServerConnection:
@@ -214,7 +229,7 @@
         raw = await self._read_request()
         if raw is None or self._input.has_ended:
             return False
-        reply = Reply(self._http, self._stream, self._must_close)
+        reply = Reply(self._http, self._stream, self._input, self._must_close)
         await self._input.await_handler(respond(raw, reply))
         return not self._input.has_ended and (
             self._http.our_state is h11.DONE
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from functools import partial
 from typing import Final
 
@@ -33,6 +34,8 @@
 #: and apply removals. One task does all three, since each wake-up of each
 #: instance costs processor time.
 _TICK_S: Final = 0.15
+#: Delay of the event loop that is logged.
+_LATE: Final = timedelta(milliseconds=100)
 #: Pause before a failed background task is restarted, and interval of the
 #: check for open requests during a drain.
 _POLL_INTERVAL_S: Final = 0.1
@@ -131,7 +134,21 @@
         await _refresh_after_pause(gateway)
         start_due_checks(gateway)
         apply_due_removals(gateway)
-        await trio.sleep(_TICK_S)
+        await _sleep_until_tick(gateway)
+
+
+async def _sleep_until_tick(gateway: Gateway) -> None:
+    """Sleeps, and records how late the event loop woke up."""
+    due_s = trio.current_time() + _TICK_S
+    await trio.sleep_until(due_s)
+    late_by = timedelta(seconds=max(0, trio.current_time() - due_s))
+    gateway.metrics.record('event_loop.late', late_by)
+    if late_by > _LATE:
+        gateway.log.record(
+            'event_loop_late',
+            late_ms=late_by // timedelta(milliseconds=1),
+            open=gateway.activity.open_requests,
+        )
 
 
 async def _refresh_after_pause(gateway: Gateway) -> None:
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -176,6 +176,7 @@
         options,
         framer,
         route.limit,
+        reply,
     )
     try:
         await update_upstream_health(gateway, routed, choice, outcome)
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -263,6 +263,7 @@
             options,
             context.framer,
             timeout,
+            context.reply,
         )
     except trio.Cancelled:
         context.history.record(choice.upstream, Evidence.MAY_HAVE_RUN)
@@ -449,6 +450,7 @@
         request.request_id,
         upstream=upstream,
         took_ms=took // _MS,
+        held_bytes=context.reply.held_bytes,
         **_record_stream_times(context),
     )
 
