Dispatch nothing for a caller whose end has arrived

Callers saw: nothing themselves; their upstreams worked for requests whose callers had left, and the instance became later still. Cause: an end that waits in the socket behind a request is noticed only when the task that receives runs again, which is after the dispatch has been written. On an instance that is late both lie there together. Why it works: the kernel tells an end behind unread bytes (POLLRDHUP) without reading. Callers and peers are asked at the one place through which each dispatch goes, after its connection has been opened, and before a choice is made.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -69,9 +69,10 @@
     """Sends a request to the chosen upstream and records the outcome.
 
     `timeout` bounds the time to a complete answer or to the first event of a
-    stream. `reply` is to the caller, or to the peer that relays its request.
+    stream. `reply` is to the caller, or to the peer that relays its request;
+    nothing is sent after that has left.
     """
-    record_dispatch(gateway, routed, choice, options, timeout, reply)
+    record_dispatch(gateway, routed, choice, options, timeout)
     started_s = gateway.elapsed_s()
     with _count_pending_tokens(choice, routed.route.priority):
         outcome = await _send_and_read(
@@ -81,6 +82,7 @@
             options,
             framer,
             timeout,
+            reply,
         )
     record_outcome(
         gateway,
@@ -121,6 +123,7 @@
     options: DispatchOptions,
     framer: EventFramer,
     timeout: timedelta,
+    reply: Reply,
 ) -> DispatchOutcome:
     """Returns the outcome, also of a failure; an open stream stays open."""
     pool, address = _pool_and_address(gateway, choice)
@@ -140,6 +143,8 @@
             trio.move_on_after(timeout.total_seconds()) as scope,
             _track_pending(gateway, routed, choice, scope),
         ):
+            # Opening the connection may have taken long.
+            await reply.stop_if_caller_left()
             upstream_request = _build_request(gateway, routed, choice, options)
             await connection.send(upstream_request, gateway.spawn)
             outcome = await _read_answer(
--- a/src/masticstage/edges/dispatch_log.py
+++ b/src/masticstage/edges/dispatch_log.py
@@ -5,7 +5,6 @@
 
 from masticstage.edges.dispatch_outcome import DispatchOutcome, RoutedRequest
 from masticstage.edges.gateway import Gateway
-from masticstage.edges.http_server import Reply
 from masticstage.edges.notices import describe_notices
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.evidence import Evidence
@@ -21,7 +20,6 @@
     choice: Choice,
     options: DispatchOptions,
     timeout: timedelta,
-    reply: Reply,
 ) -> None:
     """Logs that a request is sent to an upstream, and from which inputs."""
     waited = gateway.clock.elapsed() - routed.request.arrived
@@ -37,7 +35,6 @@
         in_flight=choice.candidate.counters.in_flight,
         bound_ms=timeout // _MS,
         waited_ms=waited // _MS,
-        has_caller_left=reply.has_caller_left(),
         tried=sorted(routed.tried),
         left_out=describe_notices(gateway.views.fleet, routed.service),
         **_prompt_fields(routed.request.prompt, choice),
--- a/src/masticstage/edges/http_server.py
+++ b/src/masticstage/edges/http_server.py
@@ -75,13 +75,18 @@
                 self._received = await self._stream.receive()
             except _DISCONNECT_ERRORS:
                 self._received = b''
-            self.has_ended = not self._received
-            if self.has_ended and self._handling is not None:
-                self._handling.cancel()
+            if not self._received:
+                self.end()
             self._arrived.unpark()
             if self._received:
                 await self._taken.park()
 
+    def end(self) -> None:
+        """Records the disconnect, which cancels the handling of a request."""
+        self.has_ended = True
+        if self._handling is not None:
+            self._handling.cancel()
+
     async def take(self) -> bytes:
         """Returns received bytes; empty at the end of the stream."""
         if not self._received and not self.has_ended:
@@ -121,9 +126,15 @@
         """Bytes that the caller has sent after its request."""
         return self._input.held_bytes
 
-    def has_caller_left(self) -> bool:
-        """Returns whether the caller has ended the connection."""
-        return self._input.has_ended or self._stream.has_ended()
+    async def stop_if_caller_left(self) -> None:
+        """Raises trio.Cancelled if the caller has ended the connection.
+
+        The end may still wait in the socket, so that the task that receives
+        has not seen it.
+        """
+        if self._stream.has_ended():
+            self._input.end()
+        await trio.lowlevel.checkpoint_if_cancelled()
 
     async def send_complete(
         self,
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 from typing import Final
 
+import trio
 from google.protobuf.message import DecodeError
 
 from masticstage import peer_pb2 as pb
@@ -39,6 +40,7 @@
 #: Idle time of a resumable stream after which its upstream is checked: three
 #: times the longest pause that the routes of users count as on time.
 _IDLE_TIMEOUT: Final = timedelta(seconds=1.2)
+_MS: Final = timedelta(milliseconds=1)
 _PROTOBUF_HEADERS: Final = ((b'content-type', b'application/x-protobuf'),)
 _BAD_MESSAGE_ERRORS: Final = (DecodeError, InvalidRequestError, ValueError)
 
@@ -105,7 +107,15 @@
     )
     gateway.activity.open_requests += 1
     try:
+        await reply.stop_if_caller_left()
         await _relay_to_local_upstream(gateway, routed, message, reply)
+    except trio.Cancelled:
+        gateway.log.record(
+            'relay_abandoned',
+            request.request_id,
+            took_ms=(gateway.clock.elapsed() - raw.arrived) // _MS,
+        )
+        raise
     finally:
         gateway.activity.open_requests -= 1
 
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -131,6 +131,7 @@
 async def _dispatch_until_answered(context: _RequestContext) -> None:
     """Dispatches until an answer is delivered or no attempt is left."""
     while True:
+        await context.reply.stop_if_caller_left()
         choice = _choose_candidate(context)
         if choice is None:
             await _end_unanswered(context)
--- a/tests/edges/test_callers_that_leave.py
+++ b/tests/edges/test_callers_that_leave.py
@@ -128,44 +128,70 @@
     check()
 
 
+class _FailingUpstream:
+    """Fails each request, at the moment at which its caller leaves.
+
+    `callers` has the connections of callers; `received` counts requests.
+    """
+
+    def __init__(self, name, callers, how):
+        self.name = name
+        self.received = 0
+        self._callers = callers
+        self._how = how
+
+    async def serve_connection(self, stream):
+        request = await stream.receive_some()
+        if request.startswith(b'GET /health'):
+            await stream.send_all(
+                b'HTTP/1.1 200 OK\r\nX-Instance-Id: %b\r\n'
+                b'Content-Length: 0\r\n\r\n' % self.name.encode()
+            )
+            return
+        self.received += 1
+        if self._callers:
+            leave(self._callers.pop(), self._how)
+        stream.socket.close()
+
+
 @pytest.mark.parametrize('how', _HOW)
 def test_a_caller_that_has_left_gets_no_further_attempt(how):
     """Guards against retries for callers whose end waits to be read."""
 
     @run_with_timeout
     async def check():
-        received = []
-        sockets = []
-
-        async def fail_as_the_caller_leaves(stream):
-            received.append(await stream.receive_some())
-            leave(sockets.pop(), how)
-            stream.socket.close()
-
+        callers = []
+        upstreams = [
+            _FailingUpstream(name, callers, how) for name in ('u-1', 'u-2')
+        ]
         async with deploy_entry(replica_count=0) as deployment:
             gateway = deployment.gateway
-            for number, address in enumerate(free_addresses(2)):
-                port = int(address.rpartition(':')[2])
+            for upstream, address in zip(
+                upstreams, free_addresses(2), strict=True
+            ):
                 gateway.nursery.start_soon(
-                    _serve_tcp, fail_as_the_caller_leaves, port
+                    _serve_tcp, upstream.serve_connection, address
                 )
                 record = UpstreamRecord(
-                    f'u-{number}', 'shop', address, 'north-a', 'north', 8
+                    upstream.name, 'shop', address, 'north-a', 'north', 8
                 )
                 gateway.views.fleet.apply(f'u/{record.name}', record)
             await trio.sleep(0.05)
+            # Which of the two ends is read first is random.
             for number in range(10):
                 sock = connect_at_once(gateway.settings.listen.callers)
-                sockets.append(sock)
+                callers.append(sock)
                 sock.sendall(call(f'r-{number}'))
                 await trio.sleep(0.1)
-                assert len(received) == number + 1
+
+        assert sum(upstream.received for upstream in upstreams) == 10
 
     check()
 
 
-async def _serve_tcp(respond, port):
-    await trio.serve_tcp(respond, port, host='127.0.0.1')
+async def _serve_tcp(serve_connection, address):
+    host, _, port = address.rpartition(':')
+    await trio.serve_tcp(serve_connection, int(port), host=host)
 
 
 @pytest.mark.parametrize('way', ['direct', 'relayed'])
