See the end of a caller that has sent more than its request

Callers saw nothing; an upstream went on to its own end for a caller that had sent a line break, its next request or more, and left. Cause: the task that receives waited after the first bytes that were not taken, which is until the request in progress has ended. Evidence: test_work_ends_when_a_caller_leaves_that_has_sent_more, 18 of 18 failed on the code before, 18 pass now. Class: an end that is in order behind bytes nobody takes. Why it works: up to 64 KiB (and one read more) are taken from the socket and held while a request is handled, so the end is received; beyond that reading stops, as before, and the kernel is asked for the end ten times a second. Measured: tests of edges and platform pass.

--- a/src/masticstage/edges/http_server.py
+++ b/src/masticstage/edges/http_server.py
@@ -27,6 +27,10 @@
 _LINGER_TIMEOUT_S: Final = 0.5
 #: Length of the listen backlog, beyond which the kernel drops SYN packets.
 _BACKLOG: Final = 1024
+#: Bytes of a caller after its request that are held before reading stops.
+_MAX_HELD_BYTES: Final = 65536
+#: Interval at which a caller is asked for its end while no more is read.
+_END_POLL_S: Final = 0.1
 _FOLDED_LINE: Final = re.compile(rb'\n[ \t]')
 _CONTENT_LENGTH_LINE: Final = re.compile(rb'(?im)^content-length[ \t]*:')
 _TRANSFER_ENCODING_LINE: Final = re.compile(rb'(?im)^transfer-encoding[ \t]*:')
@@ -48,8 +52,9 @@
 class _CallerInput:
     """What a caller sends, received by a task of its own.
 
-    That task always waits for input, so it notices a disconnect while a request
-    is handled.  It receives more only after what it has received was taken.
+    That task notices a disconnect while a request is handled, also behind bytes
+    that have not been taken.  It holds at most `_MAX_HELD_BYTES` of them, and
+    one read more; beyond that it only asks whether the caller has disconnected.
     """
 
     _stream: ByteStream
@@ -71,21 +76,17 @@
     async def receive_until_end(self) -> None:
         """Receives until the caller disconnects."""
         while not self.has_ended:
-            try:
-                self._received = await self._stream.receive()
-            except _DISCONNECT_ERRORS:
-                self._received = b''
-            if not self._received:
-                self.end()
-            self._arrived.unpark()
-            if self._received:
-                await self._taken.park()
+            if self.held_bytes < _MAX_HELD_BYTES:
+                await self._receive()
+            else:
+                await self._await_room()
 
     def end(self) -> None:
         """Records the disconnect, which cancels the handling of a request."""
         self.has_ended = True
         if self._handling is not None:
             self._handling.cancel()
+        self._arrived.unpark()
 
     async def take(self) -> bytes:
         """Returns received bytes; empty at the end of the stream."""
@@ -105,6 +106,24 @@
             finally:
                 self._handling = None
 
+    async def _receive(self) -> None:
+        try:
+            received = await self._stream.receive()
+        except _DISCONNECT_ERRORS:
+            received = b''
+        if received:
+            self._received += received
+            self._arrived.unpark()
+        else:
+            self.end()
+
+    async def _await_room(self) -> None:
+        """Waits until bytes are taken; asks for the end meanwhile."""
+        with trio.move_on_after(_END_POLL_S):
+            await self._taken.park()
+        if self._stream.has_ended():
+            self.end()
+
 
 @final
 @attrs.define(eq=False)
