Accept all connections that wait in one pass of the event loop

Callers saw: a busy instance did not read their requests until they had given up; it then dispatched them (GONE), or answered them at the route's limit untried. Cause: trio.serve_listeners accepts one connection a pass. Evidence: test_a_busy_instance_accepts_connections_that_wait_together, 44 of 120 callers served within the second for which they wait, 120 now. Why it works: up to 64 that wait are accepted together, each with its own task, so how long a connection waits no longer depends on the length of a pass.

--- a/src/masticstage/edges/http_server.py
+++ b/src/masticstage/edges/http_server.py
@@ -25,8 +25,6 @@
 _BODY_TIMEOUT: Final = timedelta(seconds=10)
 #: Longest time for which the rest of a refused request is read and discarded.
 _LINGER_TIMEOUT_S: Final = 0.5
-#: Length of the listen backlog, beyond which the kernel drops SYN packets.
-_BACKLOG: Final = 1024
 #: Bytes of a caller after its request that are held before reading stops.
 _MAX_HELD_BYTES: Final = 65536
 #: Interval at which a caller is asked for its end while no more is read.
@@ -386,14 +384,3 @@
 
 def _expire_after(scope: trio.CancelScope, timeout: timedelta) -> None:
     scope.deadline = trio.current_time() + timeout.total_seconds()
-
-
-async def listen(address: str) -> trio.SocketListener:
-    """Opens a listening socket on a numeric address (`host:port`)."""
-    host, _, port = address.rpartition(':')
-    listeners = await trio.open_tcp_listeners(
-        int(port),
-        host=host,
-        backlog=_BACKLOG,
-    )
-    return listeners[0]
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -18,7 +18,8 @@
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.gossip import notify_all_peers, run_gossip
 from masticstage.edges.health_checks import start_due_checks
-from masticstage.edges.http_server import Reply, ServerConnection, listen
+from masticstage.edges.http_server import Reply, ServerConnection
+from masticstage.edges.listening import listen, serve_connections
 from masticstage.edges.peer_server import serve_peer
 from masticstage.edges.records import (
     apply_due_removals,
@@ -102,19 +103,24 @@
 
     If `limits` is None, those of the configuration in force apply.
     """
-    listener = await listen(address)
+    listener = listen(address)
     task_status.started()
 
-    async def handle_connection(stream: trio.SocketStream) -> None:
+    async def handle_connection(stream: ByteStream) -> None:
         connection = ServerConnection(
-            ByteStream.take_over(stream),
+            stream,
             gateway.clock,
             gateway.limits if limits is None else lambda: limits,
             lambda: gateway.drain.is_draining,
         )
         await gateway.run_guarded(connection.serve, partial(respond, gateway))
 
-    await trio.serve_listeners(handle_connection, [listener])
+    def log_failure(reason: str) -> None:
+        gateway.metrics.count('accept_failed')
+        gateway.log.record('accept_failed', address=address, reason=reason)
+
+    with listener:
+        await serve_connections(listener, handle_connection, log_failure)
 
 
 async def _watch_signals(gateway: Gateway) -> None:
--- /dev/null
+++ b/src/masticstage/edges/listening.py
@@ -0,0 +1,80 @@
+"""Accepts connections on a listening socket, all that wait at once.
+
+`trio.serve_listeners` accepts one in each pass of the event loop.  When passes
+take long, connections wait until their callers have given up.
+"""
+
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import trio
+
+from masticstage.edges.byte_stream import ByteStream
+
+#: Length of the listen backlog, beyond which the kernel drops SYN packets.
+_BACKLOG: Final = 1024
+#: Most connections that are accepted in one pass of the event loop.
+_BATCH: Final = 64
+#: Errors of accept that pass when other connections are closed, and the pause
+#: before the next attempt.
+_OUT_OF_RESOURCES: Final = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
+)
+_PAUSE_S: Final = 0.1
+
+ConnectionHandler = Callable[[ByteStream], Awaitable[None]]
+FailureLog = Callable[[str], None]
+
+
+def listen(address: str) -> socket.socket:
+    """Opens a listening socket on a numeric address (`host:port`).
+
+    Raises OSError if the address cannot be used.
+    """
+    host, _, port = address.rpartition(':')
+    listener = socket.create_server((host, int(port)), backlog=_BACKLOG)
+    listener.setblocking(False)  # noqa: FBT003
+    return listener
+
+
+async def serve_connections(
+    listener: socket.socket,
+    serve_connection: ConnectionHandler,
+    log_failure: FailureLog,
+) -> None:
+    """Accepts connections and handles each in a task of its own.
+
+    If the process is out of descriptors or memory, that is logged and accepting
+    goes on after a pause.
+    """
+    async with trio.open_nursery() as nursery:
+        while True:
+            await trio.lowlevel.wait_readable(listener)
+            try:
+                _accept_waiting(listener, nursery, serve_connection)
+            except OSError as error:
+                if error.errno not in _OUT_OF_RESOURCES:
+                    raise
+                log_failure(errno.errorcode[error.errno])
+                await trio.sleep(_PAUSE_S)
+
+
+def _accept_waiting(
+    listener: socket.socket,
+    nursery: trio.Nursery,
+    serve_connection: ConnectionHandler,
+) -> None:
+    """Starts a task for each connection that waits, up to the batch size."""
+    for _ in range(_BATCH):
+        try:
+            connection, _ = listener.accept()
+        except BlockingIOError:
+            return
+        except ConnectionAbortedError:
+            # Reset by the other side before it was accepted.
+            continue
+        connection.setblocking(False)  # noqa: FBT003
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        nursery.start_soon(serve_connection, ByteStream(connection))
