Reset connections of requests that are given up

Callers saw nothing; a request that still waited to be sent when its caller left, or when the attempt timed out, was sent whole afterwards, since a closed socket goes on sending what it holds. Over a slow or cut link it arrives long after, at a replica, or at a peer that then reads request and end at different times. Why it works: a reset discards what the kernel has not sent, and reaches the other side as soon as an end would. Connections whose answer is complete close as before.

--- a/src/masticstage/edges/byte_stream.py
+++ b/src/masticstage/edges/byte_stream.py
@@ -7,6 +7,7 @@
 
 import select
 import socket
+import struct
 from typing import Final, final
 
 import attrs
@@ -17,6 +18,8 @@
 #: Time without a byte taken after which a write fails, in seconds. Callers give
 #: up earlier; the kernel does not notice a peer that lives but never reads.
 _STALLED_WRITE_S: Final = 20
+#: Value of SO_LINGER that makes closing reset the connection.
+_NO_LINGER: Final = struct.pack('ii', 1, 0)
 
 
 @final
@@ -113,3 +116,11 @@
         if self._socket.fileno() >= 0:
             trio.lowlevel.notify_closing(self._socket)
             self._socket.close()
+
+    def reset(self) -> None:
+        """Closes the socket and discards what has not been sent yet."""
+        if self._socket.fileno() >= 0:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+            )
+        self.close()
--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -191,9 +191,16 @@
         return True
 
     def close(self) -> None:
-        """Closes at once, so that the server can cancel its work."""
+        """Closes at once, so that the server can cancel its work.
+
+        A request without a complete answer is given up: the connection is
+        reset, and what of the request waits to be sent is discarded.
+        """
         self._is_unusable = True
-        self._stream.close()
+        if self._answer is None or self._answer.is_complete:
+            self._stream.close()
+        else:
+            self._stream.reset()
 
     def _current_answer(self) -> AnswerParser:
         if self._answer is None:
--- a/tests/edges/test_http_client.py
+++ b/tests/edges/test_http_client.py
@@ -190,3 +190,34 @@
         assert sum(sizes) == size
 
     check()
+
+
+def _receive_until_end(sock):
+    sock.settimeout(1)
+    received = b''
+    with suppress(ConnectionResetError):
+        while chunk := sock.recv(65536):
+            received += chunk
+    return received
+
+
+@run_with_timeout
+async def test_a_request_that_waits_to_be_sent_is_discarded_when_given_up():
+    """Guards against work for callers that left before it was sent whole."""
+    body = bytes(14_000)
+    with socket.socket() as listener:
+        # The window of the server is far smaller than the request.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(('127.0.0.1', 0))
+        listener.listen()
+        port = listener.getsockname()[1]
+        connection = await _pool().acquire(f'127.0.0.1:{port}', 60)
+        server, _ = listener.accept()
+        request = OutgoingRequest(b'POST', b'/', (), body)
+        await connection.send(request, _spawn_nothing)
+        connection.close()
+
+        with server:
+            received = await trio.to_thread.run_sync(_receive_until_end, server)
+
+    assert len(received) < len(body)
