--- a/standins/replica.py
+++ b/standins/replica.py
@@ -10,6 +10,7 @@
 import sys
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 from typing import Final, final
 
@@ -137,7 +138,10 @@
                 nursery.start_soon(
                     cancel_on_close, stream, nursery.cancel_scope
                 )
-                is_reusable = await self._answer(stream, parser, fields, fault)
+                with suppress(trio.BrokenResourceError):
+                    is_reusable = await self._answer(
+                        stream, parser, fields, fault
+                    )
                 nursery.cancel_scope.cancel()
         finally:
             self.open_requests -= 1
