Soak: callers that leave unread, also while an instance stands still

Cause: no caller of the soak ever left, so it could not find work that begins for nobody. A fifth of the callers now leave, at once or within 0.3 s, closed or reset, some after more bytes than their request; they go to an instance that is paused, if there is one. A violation is more than a few (three, as in the users' rules) requests that begin at a replica over half a second later, unless that replica stood still. Pauses of instances excuse nothing.

--- a/bench/platform_callers.py
+++ b/bench/platform_callers.py
@@ -1,5 +1,8 @@
 """Sends requests as callers of the users' platform and checks the answers."""
 
+import socket
+import struct
+import time
 from random import Random
 from typing import Final
 
@@ -22,6 +25,11 @@
 _LONGEST_RETURN_S: Final = 0.3
 #: Share of the refused callers that come back with the same id.
 _SAME_ID_SHARE: Final = 0.5
+#: Longest time for which a caller that leaves waits, and the share of those
+#: that reset their connection.
+_LONGEST_STAY_S: Final = 0.3
+_RESET_SHARE: Final = 0.5
+_RESET: Final = struct.pack('ii', 1, 0)
 _STREAMED_KINDS: Final = frozenset(('plan', 'question'))
 _EXPECTED_EVENTS: Final = b''.join(
     b'id: %d\ndata: piece %d\n\n' % (number, number) for number in range(1, 7)
@@ -48,6 +56,14 @@
         return self.status == httpx.codes.OK and not self.is_whole
 
 
+@attrs.frozen
+class Departure:
+    """When the caller of a request left, in seconds since 1970."""
+
+    request_id: str
+    left_at: float
+
+
 async def send_request(
     client: httpx.AsyncClient,
     fleet: PlatformFleet,
@@ -111,6 +127,46 @@
     return [refused, again]
 
 
+async def send_and_leave(
+    client: httpx.AsyncClient,
+    fleet: PlatformFleet,
+    random: Random,
+    request_id: str,
+) -> Departure:
+    """Sends a request and leaves without reading the answer.
+
+    It goes to an instance that stands still, if there is one. Some callers
+    send more before they leave, and some reset the connection.
+    """
+    kind = random.choice(KINDS)
+    paused = sorted(fleet.paused & set(fleet.listeners))
+    if paused:
+        address = fleet.listeners[paused[0]]['callers']
+    else:
+        address = await _find_entry(client, fleet, random)
+    host, _, port = address.rpartition(':')
+    stays_s = random.choice((0, random.uniform(0, _LONGEST_STAY_S)))
+    followed_by = random.choice((b'', b'\r\n', b'GET / HTTP/1.1\r\n'))
+    try:
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(_encode(kind, request_id) + followed_by)
+        await trio.sleep(stays_s)
+    except (OSError, trio.BrokenResourceError):
+        return Departure(request_id, time.time())
+    if random.random() < _RESET_SHARE:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    stream.socket.close()
+    return Departure(request_id, time.time())
+
+
+def _encode(kind: str, request_id: str) -> bytes:
+    method = 'GET' if kind == 'stock' else 'POST'
+    body = '' if method == 'GET' else 'body'
+    fields = {**_headers(kind, request_id), 'Content-Length': str(len(body))}
+    head = ''.join(f'{name}: {text}\r\n' for name, text in fields.items())
+    return f'{method} /{kind}/1 HTTP/1.1\r\n{head}\r\n{body}'.encode()
+
+
 async def _find_entry(
     client: httpx.AsyncClient,
     fleet: PlatformFleet,
--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -36,6 +36,15 @@
 _LISTENERS: Final = ('callers', 'readiness', 'peers', 'entries', 'metrics')
 
 
+@attrs.frozen
+class Pause:
+    """When a process stood still, in seconds since 1970."""
+
+    name: str
+    started_at: float
+    ended_at: float
+
+
 @final
 @attrs.define(eq=False)
 class PlatformFleet:
@@ -43,6 +52,8 @@
 
     `listeners` holds the addresses of each instance by their names in the
     settings. `older` are the instances that run the sources in `older_sources`.
+    `pauses` are those of replicas and instances, `paused` are those
+    that stand still now.
     """
 
     folder: Path
@@ -53,6 +64,8 @@
     commands: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     older: frozenset[str] = frozenset()
     older_sources: str = ''
+    pauses: list[Pause] = attrs.field(factory=list)
+    paused: set[str] = attrs.field(factory=set)
 
     async def start(self, name: str, *command: str) -> None:
         """Starts a Python module; its output is appended to `NAME.log`."""
@@ -78,6 +91,19 @@
         await process.wait()
         await self.start(name, *self.commands[name])
 
+    async def pause(self, name: str, pause_s: float) -> None:
+        """Makes a process stand still for a while."""
+        process = self.processes[name]
+        started_at = time.time()
+        process.send_signal(signal.SIGSTOP)
+        self.paused.add(name)
+        try:
+            await trio.sleep(pause_s)
+        finally:
+            process.send_signal(signal.SIGCONT)
+            self.paused.discard(name)
+        self.pauses.append(Pause(name, started_at, time.time()))
+
     async def set_store_mode(self, *, is_down: bool) -> None:
         """Makes the store unavailable, or available again."""
         async with httpx.AsyncClient(trust_env=False) as client:
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,33 +1,38 @@
 """The program of `make soak`: load and faults on the platform's stand-ins.
 
-While callers send requests, instances are killed and restarted, replicas crash
-and misbehave, processes of both are paused, data centres are evacuated and the
-store becomes unavailable.  Afterwards the requests that the replicas logged as
-run are compared with the results that the callers received.  The last line of
-the output is one JSON object.
+While callers send requests or leave, instances are killed and restarted,
+replicas crash and misbehave, processes of both are paused, data centres are
+evacuated and the store becomes unavailable.  Afterwards the requests that the
+replicas logged as run are compared with what the callers received, and with
+when they left.  The last line of the output is one JSON object.
 """
 
 import json
-import signal
 import sys
 from collections import Counter
+from collections.abc import Iterator
+from math import inf
 from pathlib import Path
 from random import Random
 from types import MappingProxyType
 from typing import Any, Final
 
+import attrs
 import fire
 import httpx
 import trio
 
 from bench.platform_callers import (
     AT_MOST_ONCE_KINDS,
+    Departure,
     RequestResult,
+    send_and_leave,
     send_until_taken,
 )
 from bench.platform_fleet import (
     DATA_CENTRES,
     INSTANCES,
+    Pause,
     PlatformFleet,
     running_platform,
 )
@@ -44,6 +49,29 @@
 _REUSE_S: Final = 2.0
 #: Share of the requests that must get whole answers in spite of all faults.
 _MIN_ANSWERED_SHARE: Final = 0.5
+#: Share of the callers that leave, the time after which their requests must not
+#: begin to run, and how many may.
+_LEAVING_SHARE: Final = 0.2
+_LATE_S: Final = 0.5
+_MAX_LATE_RUNS: Final = 3
+
+
+@attrs.frozen
+class Run:
+    """A request that a replica began to run, in seconds since 1970."""
+
+    request_id: str
+    replica: str
+    began_at: float
+
+
+@attrs.define
+class _Record:
+    """What callers saw, and how often each fault was injected."""
+
+    received: list[RequestResult] = attrs.field(factory=list)
+    departures: list[Departure] = attrs.field(factory=list)
+    fault_counts: Counter[str] = attrs.field(factory=Counter)
 
 
 async def run_soak(
@@ -56,49 +84,91 @@
 ) -> dict[str, Any]:
     """Runs load and faults; returns the counts and the violations."""
     folder = Path('out') / f'soak-{seed}'
-    random = Random(seed)
-    request_results: list[RequestResult] = []
-    fault_counts: Counter[str] = Counter()
+    record = _Record()
     async with running_platform(
         folder, fault_share, seed, instances, older
     ) as fleet:
         with trio.move_on_after(duration_s):
-            async with (
-                httpx.AsyncClient(trust_env=False) as client,
-                trio.open_nursery() as nursery,
-            ):
-                nursery.start_soon(_inject_faults, fleet, random, fault_counts)
-
-                async def send_one(request_id: str) -> None:
-                    request_results.extend(
-                        await send_until_taken(
-                            client, fleet, random, request_id
-                        )
-                    )
-
-                number = 0
-                while True:
-                    number += 1
-                    nursery.start_soon(send_one, f'r-{seed}-{number}')
-                    await trio.sleep(1 / rate_per_s)
-    run_counts = count_runs(folder, fleet)
+            await _send_requests(fleet, seed, rate_per_s, record)
+    runs = list(read_runs(folder, fleet))
+    run_counts = Counter(run.request_id for run in runs)
     return {
-        'requests': len(request_results),
-        'whole_answers': sum(request.is_whole for request in request_results),
-        'faults': dict(fault_counts),
-        'violations': find_violations(request_results, run_counts),
+        'requests': len(record.received),
+        'left': len(record.departures),
+        'whole_answers': sum(request.is_whole for request in record.received),
+        'faults': dict(record.fault_counts),
+        'violations': [
+            *find_violations(record.received, run_counts),
+            *find_late_runs(record.departures, runs, fleet.pauses),
+        ],
     }
 
 
-def count_runs(folder: Path, fleet: PlatformFleet) -> Counter[str]:
-    """Counts the runs of each request in the output of the replicas."""
-    run_counts: Counter[str] = Counter()
+async def _send_requests(
+    fleet: PlatformFleet, seed: int, rate_per_s: float, record: _Record
+) -> None:
+    """Sends requests and injects faults until it is cancelled."""
+    random = Random(seed)
+
+    async def send_one(request_id: str) -> None:
+        caller = (client, fleet, random, request_id)
+        if random.random() < _LEAVING_SHARE:
+            record.departures.append(await send_and_leave(*caller))
+        else:
+            record.received.extend(await send_until_taken(*caller))
+
+    async with (
+        httpx.AsyncClient(trust_env=False) as client,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(_inject_faults, fleet, random, record.fault_counts)
+        number = 0
+        while True:
+            number += 1
+            nursery.start_soon(send_one, f'r-{seed}-{number}')
+            await trio.sleep(1 / rate_per_s)
+
+
+def read_runs(folder: Path, fleet: PlatformFleet) -> Iterator[Run]:
+    """Yields what ran at the replicas, from their output."""
     for name in fleet.replica_addresses:
         for path in folder.glob(f'{name}*.log'):
             for line in path.read_text().splitlines():
                 if line.startswith('ran '):
-                    run_counts[line.removeprefix('ran ')] += 1
-    return run_counts
+                    _, request_id, began_at = line.split()
+                    yield Run(request_id, name, float(began_at))
+
+
+def find_late_runs(
+    departures: list[Departure], runs: list[Run], pauses: list[Pause]
+) -> list[str]:
+    """Returns a description of the requests that began after callers left.
+
+    Replicas that stood still meanwhile had received them before. Instances that
+    did so have to see that the callers are gone.
+    """
+    left_at = {
+        departure.request_id: departure.left_at for departure in departures
+    }
+    late_ids = [
+        run.request_id
+        for run in runs
+        if run.began_at - left_at.get(run.request_id, inf) > _LATE_S
+        and not _was_paused(run, left_at[run.request_id], pauses)
+    ]
+    if len(late_ids) <= _MAX_LATE_RUNS:
+        return []
+    return [f'{late_ids} began to run after their callers had left']
+
+
+def _was_paused(run: Run, since: float, pauses: list[Pause]) -> bool:
+    """Returns whether the replica of a run stood still before it began."""
+    return any(
+        pause.name == run.replica
+        and pause.started_at < run.began_at
+        and pause.ended_at > since
+        for pause in pauses
+    )
 
 
 def find_violations(
@@ -177,15 +247,15 @@
     )
 
 
-async def _pause_process(fleet: PlatformFleet, random: Random) -> None:
-    """Pauses the process of an instance or a replica for a while."""
-    names = random.choice((fleet.listeners, fleet.replica_addresses))
-    process = fleet.processes[random.choice(sorted(names))]
-    process.send_signal(signal.SIGSTOP)
-    try:
-        await trio.sleep(random.uniform(*_PROCESS_PAUSE_S))
-    finally:
-        process.send_signal(signal.SIGCONT)
+async def _pause_instance(fleet: PlatformFleet, random: Random) -> None:
+    """Pauses an instance; meanwhile callers that leave connect to it."""
+    name = random.choice(sorted(fleet.listeners))
+    await fleet.pause(name, random.uniform(*_PROCESS_PAUSE_S))
+
+
+async def _pause_replica(fleet: PlatformFleet, random: Random) -> None:
+    name = random.choice(sorted(fleet.replica_addresses))
+    await fleet.pause(name, random.uniform(*_PROCESS_PAUSE_S))
 
 
 async def _evacuate_data_centre(fleet: PlatformFleet, random: Random) -> None:
@@ -199,7 +269,8 @@
     {
         'crash': _crash_replica,
         'evacuate': _evacuate_data_centre,
-        'freeze': _pause_process,
+        'freeze': _pause_instance,
+        'freeze-replica': _pause_replica,
         'kill': _kill_instance,
         'reuse': _reuse_address,
         'leave': _replace_leaving_replica,
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 import sys
+import time
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -383,7 +384,7 @@
 
 
 def _print_run(request_id: str) -> None:
-    sys.stdout.write(f'ran {request_id}\n')
+    sys.stdout.write(f'ran {request_id} {time.time():.3f}\n')
     sys.stdout.flush()
 
 
@@ -402,8 +403,9 @@
     fault_share: float = 0,
     seed: int = 0,
 ) -> None:
-    """Runs an upstream until it is killed; prints the ids that it executed.
+    """Runs an upstream until it is killed.
 
+    Prints the id of each request that it ran and when (seconds since 1970).
     With SIGUSR1 it says in each answer that it leaves.
 
     Args:
