--- a/tests/edges/test_callers_that_leave.py
+++ b/tests/edges/test_callers_that_leave.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from masticstage.edges.http_client import ConnectionPool
 from masticstage.forwarding.published import UpstreamRecord
 from standins.faults import Fault
 from tests.edges.deployment import (
@@ -128,6 +129,35 @@
     check()
 
 
+@pytest.mark.parametrize('way', ['direct', 'relayed'])
+def test_nothing_is_sent_if_a_caller_leaves_while_a_connection_opens(
+    way, monkeypatch
+):
+    """Guards against dispatches after a wait for a connection."""
+    callers = []
+    acquire = ConnectionPool.acquire
+
+    async def acquire_as_the_caller_leaves(pool, address, *options):
+        connection = await acquire(pool, address, *options)
+        if _LEFT_ID in options and callers:
+            leave(callers.pop(), 'close')
+        return connection
+
+    monkeypatch.setattr(ConnectionPool, 'acquire', acquire_as_the_caller_leaves)
+
+    @run_with_timeout
+    async def check():
+        async with _deploy(way) as target:
+            callers.append(connect_at_once(target.address))
+            callers[0].sendall(target.request(_LEFT_ID))
+            await trio.sleep(_END_S)
+
+            assert not callers
+            assert _LEFT_ID not in target.received_ids()
+
+    check()
+
+
 class _FailingUpstream:
     """Fails each request, at the moment at which its caller leaves.
 
