Hold little for callers that read slowly, as before the own accept loop

Cause: trio.SocketStream bounds the unsent bytes of a connection that it wraps (TCP_NOTSENT_LOWAT); connections accepted in batches since lacked it. Found on reading the change.

--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -52,7 +52,7 @@
 
     `listeners` holds the addresses of each instance by their names in the
     settings. `older` are the instances that run the sources in `older_sources`.
-    `pauses` are those of replicas and instances, `paused` are those
+    `pauses` are those of replicas and instances, `paused` names those
     that stand still now.
     """
 
--- a/src/masticstage/edges/listening.py
+++ b/src/masticstage/edges/listening.py
@@ -17,6 +17,8 @@
 _BACKLOG: Final = 1024
 #: Most connections that are accepted in one pass of the event loop.
 _BATCH: Final = 64
+#: Bytes that the kernel holds unsent for a caller that reads slowly.
+_MAX_UNSENT_BYTES: Final = 16384
 #: Pause after a failure, such as a lack of descriptors.
 _PAUSE_S: Final = 0.1
 
@@ -69,6 +71,14 @@
         except ConnectionAbortedError:
             # Reset by the other side before it was accepted.
             continue
-        connection.setblocking(False)  # noqa: FBT003
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _configure(connection)
         nursery.start_soon(serve_connection, ByteStream(connection))
+
+
+def _configure(connection: socket.socket) -> None:
+    """Sets the options that `trio.SocketStream` sets."""
+    connection.setblocking(False)  # noqa: FBT003
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _MAX_UNSENT_BYTES
+    )
--- a/tests/edges/test_listening.py
+++ b/tests/edges/test_listening.py
@@ -86,3 +86,22 @@
         nursery.cancel_scope.cancel()
 
     assert failures == ['EMFILE', 'EPROTO']
+
+
+@run_with_timeout
+async def test_little_is_held_for_a_caller_that_reads_slowly():
+    """Guards against megabytes of a stream in the buffers of the kernel."""
+    unsent = []
+
+    async def fill(stream):
+        unsent.append(len(stream.send_now(bytes(8_000_000))))
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        listener = listen('127.0.0.1:0')
+        nursery.start_soon(serve_connections, listener, fill, None)
+        with connect_at_once('127.0.0.1:%d' % listener.getsockname()[1]):
+            await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+
+    assert unsent[0] > 7_000_000
