--- a/tests/edges/test_endless_bytes.py
+++ b/tests/edges/test_endless_bytes.py
@@ -1,7 +1,7 @@
 """Tests of servers that send bytes without end, over real sockets."""
 
 import tracemalloc
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 
 import attrs
 import pytest
@@ -21,6 +21,7 @@
     deploy_two_regions,
     run_with_timeout,
 )
+from tests.edges.endless_servers import endless_server, move_upstreams
 
 #: Memory beyond the answers' bounds, as docs/OPERATIONS.md names them: 4 MB of
 #: a body, which is held in parts and as a whole.
@@ -49,40 +50,6 @@
 )
 
 
-def _send_without_end(start, endless):
-    """Returns a server that sends until the other side closes."""
-    block = endless * (65_536 // len(endless))
-
-    async def respond(stream):
-        with suppress(trio.BrokenResourceError):
-            await stream.receive_some()
-            await stream.send_all(start)
-            while True:
-                await stream.send_all(block)
-
-    return respond
-
-
-@asynccontextmanager
-async def _endless_server(shape):
-    """Serves an endless answer on loopback; yields the address."""
-    async with trio.open_nursery() as nursery:
-        listeners = await nursery.start(
-            trio.serve_tcp, _send_without_end(*_ENDLESS[shape]), 0
-        )
-        yield f'127.0.0.1:{listeners[0].socket.getsockname()[1]}'
-        nursery.cancel_scope.cancel()
-
-
-def _move_upstreams(gateway, service, address):
-    """Gives the upstreams of a service another address."""
-    for upstream in tuple(gateway.views.fleet.all_upstreams()):
-        record = upstream.record
-        if record.service == service:
-            moved = attrs.evolve(record, address=address)
-            gateway.views.fleet.apply(f'u/{record.name}', moved)
-
-
 @pytest.mark.parametrize('is_relayed', [False, True])
 @pytest.mark.parametrize('shape', _ENDLESS)
 def test_endless_bytes_of_an_upstream_end_one_request_only(shape, is_relayed):
@@ -99,9 +66,9 @@
         statuses.append(status if is_complete else 'incomplete')
 
     async def check_with(deployment, gateways):
-        async with _endless_server(shape) as address:
+        async with endless_server(*_ENDLESS[shape]) as address:
             for gateway in gateways:
-                _move_upstreams(gateway, 'model', address)
+                move_upstreams(gateway, 'model', address)
             async with trio.open_nursery() as callers:
                 for _ in range(_AT_ONCE):
                     callers.start_soon(ask, deployment)
@@ -137,10 +104,10 @@
     async def check():
         async with (
             deploy_entry() as deployment,
-            _endless_server(shape) as address,
+            endless_server(*_ENDLESS[shape]) as address,
         ):
             gateway = deployment.gateway
-            _move_upstreams(gateway, 'shop', address)
+            move_upstreams(gateway, 'shop', address)
             upstream = gateway.views.fleet.find('shop-1')
             with suppress(BrokenConnectionError), trio.fail_after(2):
                 await _request_health(gateway, upstream)
@@ -156,7 +123,7 @@
     async def check():
         async with (
             deploy_entry() as deployment,
-            _endless_server(shape) as address,
+            endless_server(*_ENDLESS[shape]) as address,
         ):
             gateway = deployment.gateway
             body = await _post(gateway, address, b'/exchange', b'', 2)
@@ -184,7 +151,7 @@
     async with deploy_entry() as deployment, trio.open_nursery() as nursery:
         listeners = await nursery.start(trio.serve_tcp, respond, 0)
         port = listeners[0].socket.getsockname()[1]
-        _move_upstreams(deployment.gateway, 'model', f'127.0.0.1:{port}')
+        move_upstreams(deployment.gateway, 'model', f'127.0.0.1:{port}')
         connection = await deployment.open()
         headers = (
             (b'host', b'shop.example'),
--- a/tests/edges/test_endless_events.py
+++ b/tests/edges/test_endless_events.py
@@ -12,7 +12,7 @@
     deploy_two_regions,
     run_with_timeout,
 )
-from tests.edges.test_endless_bytes import _move_upstreams
+from tests.edges.endless_servers import endless_server, move_upstreams
 
 #: Time in which users want a look-up to be answered.
 _TARGET_S = 0.325
@@ -36,20 +36,6 @@
 _LOOK_UPS = 10
 
 
-def _send_without_end(event):
-    """Returns a server that sends an event again and again."""
-    block = event * (65_536 // len(event))
-
-    async def respond(stream):
-        with suppress(trio.BrokenResourceError):
-            await stream.receive_some()
-            await stream.send_all(_HEAD)
-            while True:
-                await stream.send_all(block)
-
-    return respond
-
-
 async def _read_stream(deployment, number):
     """Asks for a stream and drops what arrives, until it ends."""
     connection = await deployment.open()
@@ -84,13 +70,12 @@
     """Guards against streams of which one read takes a pass of the loop."""
 
     async def check_with(deployment, gateways):
-        async with trio.open_nursery() as nursery:
-            listeners = await nursery.start(
-                trio.serve_tcp, _send_without_end(_SHAPES[shape]), 0
-            )
-            port = listeners[0].socket.getsockname()[1]
+        async with (
+            endless_server(_HEAD, _SHAPES[shape]) as address,
+            trio.open_nursery() as nursery,
+        ):
             for gateway in gateways:
-                _move_upstreams(gateway, 'model', f'127.0.0.1:{port}')
+                move_upstreams(gateway, 'model', address)
             for number in range(_STREAMS):
                 nursery.start_soon(_read_stream, deployment, number)
             await trio.sleep(0.2)
