--- a/src/masticstage/forwarding/record_cache.py
+++ b/src/masticstage/forwarding/record_cache.py
@@ -84,7 +84,10 @@
 
     def _remove_unlisted(self, updates: RecordUpdates) -> Iterable[RecordEvent]:
         """Deletes records that a snapshot lacks; returns the deletions."""
-        listed = {event.key for event in updates.events}
+        # A snapshot of a peer also has deletions, which may be old.
+        listed = {
+            event.key for event in updates.events if event.body is not None
+        }
         removed = [
             RecordEvent(key, updates.revision, None)
             for key, cached in self._records.items()
--- a/tests/forwarding/test_record_cache.py
+++ b/tests/forwarding/test_record_cache.py
@@ -117,3 +117,20 @@
     behind.apply(fresh.updates_since(behind.revision))
 
     assert not _records(behind)
+
+
+def test_an_old_deletion_in_a_snapshot_does_not_keep_a_record():
+    """Guards against removed records that live on after a peer's snapshot."""
+    reader, peer = RecordCache(), RecordCache()
+    # The record is written, deleted, written and deleted again.
+    written = RecordEvent('op/config', 1, b'1')
+    rewritten = RecordEvent('op/config', 3, b'3')
+    peer.apply(RecordUpdates((written,), 1, is_snapshot=True))
+    peer.apply(RecordUpdates((), 2, is_snapshot=True))
+    reader.apply(RecordUpdates((rewritten,), 3, is_snapshot=True))
+    peer.apply(RecordUpdates((), 4, is_snapshot=True))
+
+    reader.apply(peer.updates_since(reader.revision))
+
+    bodies = [event.body for event in reader.updates_since(0).events]
+    assert bodies == [None]
