Decode teams, their keys and effective routes

Cause: configurations may list teams (Tenants) and public routes, which were not read. Change: TeamDirectory finds a team by the digest of its key; the route table combines priority and homes of a team and a route once per pair; faults such as a key of two teams go into the record_changed line without the key. Nothing asks for a key yet, and tables without teams are unchanged. Result: tests/forwarding/test_teams.py and tests/platform/test_teams.py, new, pass; tests/platform, test_routes and test_overload pass unchanged.

--- a/src/masticstage/forwarding/overload.py
+++ b/src/masticstage/forwarding/overload.py
@@ -49,7 +49,7 @@
         """Returns the longest predicted wait that is accepted."""
         longest = _REMAINING_SHARE * remaining
         is_stream = route.kind is CallKind.STREAMING
-        is_urgent = route.priority <= table.most_urgent_priority(route)
+        is_urgent = route.own_priority <= table.most_urgent_priority(route)
         if not is_stream or is_urgent or self._has_reservation(fingerprint):
             return longest
         return min(longest, _REFUSAL_FACTOR * (route.target or longest))
--- a/src/masticstage/forwarding/routes.py
+++ b/src/masticstage/forwarding/routes.py
@@ -9,6 +9,12 @@
 import xxhash
 
 from masticstage.forwarding.requests import CallKind
+from masticstage.forwarding.teams import (
+    Team,
+    TeamDirectory,
+    combine_homes,
+    combine_priorities,
+)
 
 #: Number of steps in which a weighted split divides requests.
 _SPLIT_STEPS: Final = 1_000_000
@@ -29,7 +35,10 @@
     `limit` is the longest time that a caller waits. An answer is on time within
     `target`, and the next event of a stream within `longest_pause`. `homes` are
     the regions that may serve the route, all if empty. A request with a
-    lower `priority` is more urgent.
+    lower `priority` is more urgent. With `is_public` no key is needed.
+
+    In the effective route of a team `priority` is the number that its requests
+    have at engines, and `published_priority` the one of the route itself.
     """
 
     name: str
@@ -44,6 +53,15 @@
     homes: frozenset[str] = frozenset()
     is_resumable: bool = False
     longest_pause: timedelta = timedelta()
+    is_public: bool = False
+    published_priority: int | None = None
+
+    @property
+    def own_priority(self) -> int:
+        """The priority among routes, without that of a team."""
+        if self.published_priority is None:
+            return self.priority
+        return self.published_priority
 
     @property
     def services(self) -> frozenset[str]:
@@ -112,26 +130,46 @@
 @final
 @attrs.frozen(slots=False, eq=False)
 class RouteTable:
-    """One published configuration, with lookups."""
+    """One published configuration, with lookups.
+
+    `teams` is None if requests need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceConfig]
     limits: CallerLimits = CallerLimits()
+    teams: TeamDirectory | None = None
+
+    def effective_route(self, route: Route, team: Team | None) -> Route | None:
+        """Returns a route of this table as it applies to a team's requests.
+
+        Returns the route itself if the table has no teams, and None if the
+        team and the route have no region in common. `team` is None for requests
+        to public routes without a known key.
+        """
+        if self.teams is None:
+            return route
+        # The table keeps its routes, so that their ids stay unique.
+        cache_key = (id(route), team.name if team else '')
+        if cache_key not in self._effective_routes:
+            self._effective_routes[cache_key] = _combine(route, team)
+        return self._effective_routes[cache_key]
 
     def most_urgent_priority(self, route: Route) -> int:
         """Returns the most urgent priority that competes with a route.
 
-        Routes of the same kind that share a service with it are compared.
+        Routes of the same kind that share a service with it are compared, by
+        their own priorities: those of teams do not make a kind less urgent.
         """
         priorities = [
             self._most_urgent_by_service.get(
                 (route.kind, service),
-                route.priority,
+                route.own_priority,
             )
             for service in route.services
         ]
-        return min(priorities, default=route.priority)
+        return min(priorities, default=route.own_priority)
 
     def homes_of(self, host: str) -> tuple[frozenset[str], ...]:
         """Returns the homes of each route of a host that has any."""
@@ -146,6 +184,10 @@
             None,
         )
 
+    @cached_property
+    def _effective_routes(self) -> dict[tuple[int, str], Route | None]:
+        return {}
+
     @cached_property
     def _most_urgent_by_service(self) -> dict[tuple[CallKind, str], int]:
         priorities: dict[tuple[CallKind, str], int] = {}
@@ -167,5 +209,17 @@
         return grouped
 
 
+def _combine(route: Route, team: Team | None) -> Route | None:
+    homes = combine_homes(team, route.homes)
+    if homes is None:
+        return None
+    return attrs.evolve(
+        route,
+        priority=combine_priorities(team, route.priority),
+        published_priority=route.priority,
+        homes=homes,
+    )
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -190,7 +190,9 @@
         if self._table is not None and self._table.version > table.version:
             return f'version {table.version} is older than the one in force'
         self._table = table
-        return f'version {table.version} in force'
+        faults = table.teams.describe_faults() if table.teams else ''
+        note = f' ({faults})' if faults else ''
+        return f'version {table.version} in force{note}'
 
     def _apply_upstream(self, key: str, record: UpstreamRecord) -> str:
         until = self._clock.elapsed() + record.cold_for
--- a/src/masticstage/platform/records.py
+++ b/src/masticstage/platform/records.py
@@ -23,10 +23,11 @@
 )
 from masticstage.platform import names
 from masticstage.platform.numbers import MAX_COUNT, read_duration, read_number
+from masticstage.platform.teams import decode_teams
+from masticstage.platform.texts import read_text
 
 _Fields = dict[str, Any]
 _MAX_PORT: Final = 65_535
-_MAX_TEXT_LENGTH: Final = 512
 #: Length to which the reason for an unreadable record is cut.
 _MAX_REASON_LENGTH: Final = 200
 _DECODE_ERRORS: Final = (
@@ -83,10 +84,10 @@
     if state not in {names.STATE_READY, names.STATE_LEAVING}:
         raise ValueError(f'unknown state {state!r}')
     return UpstreamRecord(
-        _text(name),
-        _text(fields['Service']),
+        read_text(name),
+        read_text(fields['Service']),
         _address(fields['Address']),
-        _text(fields['Zone']),
+        read_text(fields['Zone']),
         region_of[fields['Zone']],
         _integer(fields['Slots']),
         state == names.STATE_LEAVING,
@@ -102,6 +103,7 @@
         tuple(_decode_route(entry) for entry in fields['Routes']),
         {service.name: service for service in services},
         _decode_limits(fields['Limits']),
+        decode_teams(fields.get('Tenants')),
     )
 
 
@@ -109,9 +111,9 @@
     # `MaxAttempts` counts upstreams, not retries. `SessionAffinity` is not
     # read: it only says that requests share prompts, as the prompts show too.
     return Route(
-        _text(fields['Name']),
-        _text(fields['Host']).lower(),
-        _text(fields['PathPrefix']),
+        read_text(fields['Name']),
+        read_text(fields['Host']).lower(),
+        read_text(fields['PathPrefix']),
         CallKind(fields['Kind']),
         read_duration(fields['TimeoutMs']),
         read_duration(fields.get('TargetLatencyMs') or 0),
@@ -121,6 +123,7 @@
         frozenset(fields.get('AllowedRegions') or ()),
         bool(fields.get('Resumable')),
         read_duration(fields.get('GapTargetMs') or 0),
+        is_public=fields.get('Public') is True,
     )
 
 
@@ -128,17 +131,17 @@
     split = fields.get('TrafficSplit')
     if split:
         return tuple(
-            Share(_text(entry['Service']), _number(entry['Weight']))
+            Share(read_text(entry['Service']), _number(entry['Weight']))
             for entry in split
         )
-    return (Share(_text(fields['Service']), 1),)
+    return (Share(read_text(fields['Service']), 1),)
 
 
 def _decode_service(fields: _Fields) -> ServiceConfig:
     engine = fields.get('Engine')
     return ServiceConfig(
-        _text(fields['Name']),
-        _text(fields['HealthPath']),
+        read_text(fields['Name']),
+        read_text(fields['HealthPath']),
         _integer(fields['MaxConnections']),
         _number(fields.get('WarmupPerS') or 0),
         _decode_engine(engine) if engine else None,
@@ -163,18 +166,8 @@
     )
 
 
-def _text(field: object) -> str:
-    """Returns a name; it has to fit into headers and log lines."""
-    if not isinstance(field, str):
-        raise TypeError(f'expected text, got {type(field).__name__}')
-    is_printable = field.isascii() and field.isprintable()
-    if not 0 < len(field) <= _MAX_TEXT_LENGTH or not is_printable:
-        raise ValueError('expected a short text of printable characters')
-    return field
-
-
 def _address(field: object) -> str:
-    text = _text(field)
+    text = read_text(field)
     host, _, port = text.rpartition(':')
     ipaddress.IPv4Address(host)
     if not port.isdigit() or not 0 < int(port) <= _MAX_PORT:
