Require keys of teams and name teams to upstreams

Cause: with teams configured any request was served and its key was passed on to upstreams and peers. Change: find_route determines the team, refuses with 401 or, if team and route have no region in common, 503; name_team replaces the key once, so that relays carry the team as a header. An unknown key is refused only after records were fetched if a peer is ahead or the platform is away; many such requests share a fetch. Receivers of relays count the team and drop keys of older peers.

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -251,6 +251,7 @@
         routed.tried,
         routed.route,
         options,
+        routed.team_name,
         is_compressed=choice.candidate.via.takes_compressed,
     )
     return OutgoingRequest(
--- a/src/masticstage/edges/dispatch_outcome.py
+++ b/src/masticstage/edges/dispatch_outcome.py
@@ -10,6 +10,7 @@
 from masticstage.forwarding.evidence import Evidence
 from masticstage.forwarding.requests import CallerRequest, CallKind
 from masticstage.forwarding.routes import Route
+from masticstage.forwarding.teams import Team
 from masticstage.forwarding.wire import NamedRequest
 
 
@@ -17,7 +18,8 @@
 class RoutedRequest:
     """A request with its route, service and the upstreams already tried.
 
-    `causes` are its possible causes of a crash.
+    `causes` are its possible causes of a crash. `route` is the effective one of
+    its `team`, which is None without teams and for a public route.
     """
 
     request: CallerRequest
@@ -26,6 +28,12 @@
     fingerprint: str
     causes: Causes
     tried: frozenset[str] = frozenset()
+    team: Team | None = None
+
+    @property
+    def team_name(self) -> str:
+        """Name of the team, empty without one."""
+        return self.team.name if self.team else ''
 
     @property
     def is_stream(self) -> bool:
--- a/src/masticstage/edges/exchange.py
+++ b/src/masticstage/edges/exchange.py
@@ -77,6 +77,9 @@
 def apply_message(gateway: Gateway, message: pb.FleetExchange) -> None:
     """Merges the sender's view into the own one; logs changed members."""
     views = gateway.views
+    gateway.gossip.peer_revisions[message.sender.name] = (
+        message.published_revision
+    )
     for member in views.members.merge(
         decode_member(record) for record in message.members
     ):
--- a/src/masticstage/edges/gossip.py
+++ b/src/masticstage/edges/gossip.py
@@ -237,21 +237,29 @@
         return
     state.is_fetching = True
     try:
-        body = await _post(
-            gateway,
-            address,
-            b'/news',
-            pb.PublishedNews(revision=own_revision).SerializeToString(),
-            _FETCH_TIMEOUT_S,
-        )
+        await fetch_records(gateway, address, answer.sender.name)
     finally:
         state.is_fetching = False
-    if body is not None:
-        message = pb.PublishedNews.FromString(body)
-        updates = decode_updates(message)
-        source = f'peer {answer.sender.name}'
-        is_reliable = not message.is_in_trouble
-        apply_updates(gateway, updates, source, is_reliable=is_reliable)
+
+
+async def fetch_records(gateway: Gateway, address: str, name: str) -> bool:
+    """Fetches and applies what an instance knows besides; False if it fails."""
+    body = await _post(
+        gateway,
+        address,
+        b'/news',
+        pb.PublishedNews(
+            revision=gateway.views.records.revision
+        ).SerializeToString(),
+        _FETCH_TIMEOUT_S,
+    )
+    if body is None:
+        return False
+    message = pb.PublishedNews.FromString(body)
+    updates = decode_updates(message)
+    is_reliable = not message.is_in_trouble
+    apply_updates(gateway, updates, f'peer {name}', is_reliable=is_reliable)
+    return True
 
 
 async def _post(
--- a/src/masticstage/edges/gossip_state.py
+++ b/src/masticstage/edges/gossip_state.py
@@ -1,9 +1,11 @@
 """What gossip keeps from round to round."""
 
+from math import inf
 from random import Random
 from typing import Final, final
 
 import attrs
+import trio
 
 from masticstage.edges.datagrams import DatagramSocket
 from masticstage.forwarding.loads import SharedLoad
@@ -20,21 +22,37 @@
     summed_at_s: float
 
 
+@final
+@attrs.define(eq=False)
+class CatchUpState:
+    """The last fetch of records for requests that could not wait for gossip.
+
+    `is_current` is whether all records were known after it.
+    """
+
+    lock: trio.Lock = attrs.field(factory=trio.Lock)
+    started_at_s: float = -inf
+    is_current: bool = False
+
+
 @final
 @attrs.define
 class GossipState:
     """Partners, open questions and the socket for datagrams, if there is one.
 
     `misses` counts unanswered exchanges in a row, by instance.
+    `peer_revisions` are those of the records of other instances, by name.
     """
 
     random: Random
     partners: PartnerCycle = attrs.field(init=False)
     questions: OpenQuestions = attrs.field(factory=OpenQuestions)
     misses: dict[str, int] = attrs.field(factory=dict)
+    peer_revisions: dict[str, int] = attrs.field(factory=dict)
     round_number: int = 0
     is_fetching: bool = False
     datagrams: DatagramSocket | None = None
+    catch_up: CatchUpState = attrs.field(factory=CatchUpState)
     _loads: dict[bool, _RecentLoads] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -206,6 +206,7 @@
     tried: Iterable[str],
     route: Route,
     options: DispatchOptions,
+    team_name: str = '',
     *,
     is_compressed: bool,
 ) -> pb.RoutedRelay:
@@ -231,6 +232,7 @@
         last_event_id=options.last_event_id or request.last_event_id,
         fetch_from=options.fetch_from,
         target_ms=route.target // timedelta(milliseconds=1),
+        team=team_name,
     )
 
 
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -28,6 +28,7 @@
     encode_updates,
 )
 from masticstage.edges.streaming import IdlePolicy, forward_stream, is_reachable
+from masticstage.edges.team_keys import count_team, name_relayed_team
 from masticstage.exceptions import InvalidRequestError
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.crash_causes import possible_causes
@@ -95,6 +96,8 @@
     request = gateway.wire.read_request(
         decode_relay_request(message, raw.arrived),
     )
+    request, team = name_relayed_team(gateway, request, message.team)
+    count_team(gateway, 'team_relayed', team.name if team else '')
     route = decode_relay_route(message)
     fingerprint = request.fingerprint()
     routed = RoutedRequest(
@@ -104,6 +107,7 @@
         fingerprint,
         possible_causes(request, fingerprint),
         frozenset(message.tried),
+        team,
     )
     gateway.activity.open_requests += 1
     try:
--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -76,8 +76,11 @@
             await trio.sleep(max(0, _RETRY_INTERVAL_S - took_s))
 
 
-async def refresh_records(gateway: Gateway) -> None:
-    """Fetches from the platform what has changed since the known revision."""
+async def refresh_records(gateway: Gateway) -> bool:
+    """Fetches from the platform what has changed since the known revision.
+
+    Returns whether the platform answered.
+    """
     with trio.move_on_after(_REFRESH_TIMEOUT_S):
         revision = gateway.views.records.revision
         try:
@@ -86,6 +89,8 @@
             gateway.log.record('refresh_failed', reason=str(error))
         else:
             apply_updates(gateway, updates, 'platform', is_reliable=True)
+            return True
+    return False
 
 
 def apply_due_removals(gateway: Gateway) -> None:
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -26,6 +26,7 @@
     forward_stream,
     is_reachable,
 )
+from masticstage.edges.team_keys import team_fields
 from masticstage.exceptions import InvalidRequestError
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.events import EventFramer
@@ -93,7 +94,7 @@
         refusal = Refusal(HTTPStatus.BAD_REQUEST, str(error))
         await send_refusal(gateway, reply, '', refusal)
         return
-    routed = find_route(gateway, request)
+    routed = await find_route(gateway, request)
     if isinstance(routed, Refusal):
         await send_refusal(gateway, reply, request.request_id, routed)
         return
@@ -412,7 +413,9 @@
         context.gateway,
         context.reply,
         request_id,
-        _final_refusal(context),
+        attrs.evolve(
+            _final_refusal(context), team_name=context.routed.team_name
+        ),
     )
     _record_end(context, 'gave_up', '')
 
@@ -452,6 +455,7 @@
         upstream=upstream,
         took_ms=took // _MS,
         held_bytes=context.reply.held_bytes,
+        **team_fields(context.routed.team_name),
         **_record_stream_times(context),
     )
 
--- a/src/masticstage/explain.py
+++ b/src/masticstage/explain.py
@@ -105,7 +105,8 @@
 
 
 def _describe_refusal(fields: _Fields) -> str:
-    return f'refused with status {fields["status"]}: {fields["reason"]}'
+    team = f' for team {fields["team"]}' if fields.get('team') else ''
+    return f'refused with status {fields["status"]}{team}: {fields["reason"]}'
 
 
 def _describe_broken_stream(fields: _Fields) -> str:
--- a/src/masticstage/forwarding/record_cache.py
+++ b/src/masticstage/forwarding/record_cache.py
@@ -16,11 +16,14 @@
 
 @attrs.frozen
 class RecordEvent:
-    """A write of a record, or its deletion (`body` is None)."""
+    """A write of a record, or its deletion (`body` is None).
+
+    The body may hold keys of teams.
+    """
 
     key: str
     revision: int
-    body: bytes | None
+    body: bytes | None = attrs.field(repr=False)
 
 
 @attrs.frozen
--- a/src/masticstage/forwarding/requests.py
+++ b/src/masticstage/forwarding/requests.py
@@ -64,7 +64,8 @@
 
     `headers` are those to forward, without hop-by-hop headers and those that
     the gateway sets itself. `allowance` is the time that the caller waits from
-    `arrived`, which is on the monotonic clock.
+    `arrived`, which is on the monotonic clock. `key` is that of the caller's
+    team, empty without one; until the team is known, the headers hold it too.
     """
 
     request_id: str
@@ -72,12 +73,13 @@
     target: bytes
     host: str
     path: str
-    headers: Headers
+    headers: Headers = attrs.field(repr=False)
     body: bytes
     allowance: timedelta
     arrived: timedelta
     prompt: Prompt = NO_PROMPT
     last_event_id: str = ''
+    key: str = attrs.field(default='', repr=False)
 
     def fingerprint(self) -> str:
         """Returns a digest that is equal for a retry by the caller."""
--- a/src/masticstage/forwarding/wire.py
+++ b/src/masticstage/forwarding/wire.py
@@ -15,12 +15,13 @@
 class RawRequest:
     """An HTTP request as received, with its complete body.
 
-    Header names are in lower case. `arrived` is on the monotonic clock.
+    Header names are in lower case; the headers may hold a key. `arrived` is on
+    the monotonic clock.
     """
 
     method: bytes
     target: bytes
-    headers: Headers
+    headers: Headers = attrs.field(repr=False)
     body: bytes
     arrived: timedelta
 
@@ -109,3 +110,4 @@
     write_entries: Callable[[tuple[str, ...]], EntryAnswer]
     decode_record: Callable[[str, bytes], Published]
     is_readiness_query: Callable[[bytes], bool]
+    name_team: Callable[[Headers, str], Headers]
--- a/src/masticstage/metrics.py
+++ b/src/masticstage/metrics.py
@@ -17,6 +17,9 @@
 _US_PER_S: Final = 1_000_000
 _SIGNIFICANT_DIGITS: Final = 2
 _PERCENTILES: Final = (50.0, 95.0, 99.0, 99.9)
+#: Names with counters of their own; callers or configurations determine them.
+_MAX_NAMES: Final = 64
+_OTHER_NAMES: Final = 'others'
 
 
 @final
@@ -28,6 +31,7 @@
         self._registry = CollectorRegistry()
         self._histograms: dict[str, HdrHistogram] = {}
         self._gauges: dict[str, float] = {}
+        self._names: set[str] = set()
         self._events = Counter(
             'masticstage_events',
             'Events by name.',
@@ -40,6 +44,16 @@
         """Adds to the counter of an event."""
         self._events.labels(event).inc(amount)
 
+    def count_named(self, event: str, name: str) -> None:
+        """Adds to the counter of an event for a name, such as a team's.
+
+        Only the first names have counters of their own; all others share one.
+        """
+        if len(self._names) < _MAX_NAMES:
+            self._names.add(name)
+        label = name if name in self._names else _OTHER_NAMES
+        self.count(f'{event}.{label}')
+
     def set_gauge(self, name: str, amount: float) -> None:
         """Sets the gauge of a name, such as a count of open requests."""
         self._gauges[name] = amount
--- a/src/masticstage/platform/callers.py
+++ b/src/masticstage/platform/callers.py
@@ -17,6 +17,7 @@
 )
 from masticstage.forwarding.wire import EntryAnswer, EntryQuery, RawRequest
 from masticstage.platform import names
+from masticstage.platform.keys import read_key
 
 #: Allowance of a request without a deadline; the limit of its route is shorter.
 _DEFAULT_ALLOWANCE: Final = timedelta(hours=1)
@@ -51,6 +52,7 @@
         raw.arrived,
         _read_prompt(fields),
         fields.get(names.LAST_EVENT_ID, b'').decode('latin-1'),
+        read_key(raw.headers),
     )
 
 
--- a/src/masticstage/platform/names.py
+++ b/src/masticstage/platform/names.py
@@ -8,6 +8,11 @@
 PROMPT_PREFIX: Final = b'x-prompt-prefix'
 TOKEN_COUNTS: Final = b'x-token-counts'
 LAST_EVENT_ID: Final = b'last-event-id'
+#: From a caller, with the key of its team.
+AUTHORIZATION: Final = b'authorization'
+KEY_SCHEME: Final = b'bearer'
+#: To an upstream: the name of the caller's team.
+TEAM: Final = b'x-tenant'
 #: Only upstreams set it. The gateway checks its presence, not its value.
 SIGNATURE: Final = b'x-response-signature'
 #: Name of an upstream, not of an instance of the gateway.
@@ -61,6 +66,9 @@
     )
 )
 
+#: Headers that say whose request it is. They are replaced if there are teams.
+TEAM_HEADERS: Final = frozenset((AUTHORIZATION, TEAM))
+
 # Paths.
 READY_PATH: Final = b'/-/ready'
 RESOLVE_PATH: Final = b'/-/resolve'
--- a/src/masticstage/platform/wire.py
+++ b/src/masticstage/platform/wire.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from masticstage.forwarding.wire import WireFormat
-from masticstage.platform import callers, upstreams
+from masticstage.platform import callers, keys, upstreams
 from masticstage.platform.records import build_record_decoder
 
 
@@ -18,4 +18,5 @@
         callers.write_entries,
         build_record_decoder(region_of),
         callers.is_readiness_query,
+        keys.name_team,
     )
--- a/tests/forwarding/test_teams.py
+++ b/tests/forwarding/test_teams.py
@@ -2,7 +2,6 @@
 
 import itertools
 
-import attrs
 import pytest
 
 from masticstage.forwarding.requests import CallKind
@@ -16,6 +15,7 @@
     build_route,
     build_stream_route,
     build_table,
+    build_team_table,
 )
 
 _RED = Team('red')
@@ -23,10 +23,7 @@
 
 
 def _table(*routes):
-    directory = build_team_directory(
-        (TeamEntry(_RED, ('k-red',)), TeamEntry(_BLUE, ('k-blue',)))
-    )
-    return attrs.evolve(build_table(1, *routes), teams=directory)
+    return build_team_table({'k-red': _RED, 'k-blue': _BLUE}, 1, *routes)
 
 
 def test_a_key_finds_its_team_and_an_unknown_one_none():
--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -26,6 +26,7 @@
     Share,
 )
 from masticstage.forwarding.sampling import CandidateSampler
+from masticstage.forwarding.teams import Team, TeamEntry, build_team_directory
 from masticstage.forwarding.view import FleetView
 from masticstage.membership import Member, MemberId, MemberTable
 
@@ -75,6 +76,16 @@
     )
 
 
+def build_team_table(
+    keys: dict[str, Team], version: int = 1, *routes: Route
+) -> RouteTable:
+    """Returns a configuration with teams, each with one key."""
+    entries = (TeamEntry(team, (key,)) for key, team in keys.items())
+    return attrs.evolve(
+        build_table(version, *routes), teams=build_team_directory(entries)
+    )
+
+
 def build_record(name: str = 'u-1', **changes: Any) -> UpstreamRecord:
     """Returns a ready upstream of `shop` in the north."""
     record = UpstreamRecord(
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -8,7 +8,7 @@
 from masticstage.exceptions import InvalidRequestError
 from masticstage.forwarding.requests import NO_PROMPT, PromptPart
 from masticstage.forwarding.wire import EntryQuery, RawRequest
-from masticstage.platform import callers
+from masticstage.platform import callers, keys
 
 _HEADERS = (
     (b'host', b'Ficu95.example:8144'),
@@ -115,3 +115,35 @@
     header = (b'x-prompt-prefix', b'no-hex:800,91bd3f06:410')
 
     assert _read(*_HEADERS, header).prompt == NO_PROMPT
+
+
+@pytest.mark.parametrize(
+    ('credentials', 'key'),
+    [
+        ((b'Bearer k-1',), 'k-1'),
+        ((b'bearer  k-1 ',), 'k-1'),
+        ((), ''),
+        ((b'Basic k-1',), ''),
+        ((b'k-1',), ''),
+        ((b'Bearer k-1', b'Bearer k-1'), ''),
+        ((b'Bearer \xff',), '\xff'),
+    ],
+)
+def test_only_a_single_bearer_key_is_read(credentials, key):
+    headers = [(b'authorization', text) for text in credentials]
+    request = _read(*_HEADERS, *headers)
+
+    assert request.key == key
+    assert 'k-1' not in repr(request)
+
+
+def test_a_team_replaces_the_key_and_the_callers_own_name():
+    headers = (
+        (b'authorization', b'Bearer k'),
+        (b'x-tenant', b'forged'),
+        (b'x-model', b'm'),
+    )
+
+    named = keys.name_team(headers, 'red')
+    assert named == ((b'x-model', b'm'), (b'x-tenant', b'red'))
+    assert keys.name_team(headers, '') == ((b'x-model', b'm'),)
