--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -5,11 +5,13 @@
 from masticstage.clock import ManualClock, milliseconds
 from masticstage.forwarding.overload import OverloadControl
 from masticstage.forwarding.requests import CallKind
+from masticstage.forwarding.teams import Team
 from tests.forwarding_builders import (
     SECOND,
     build_route,
     build_stream_route,
     build_table,
+    build_team_table,
 )
 
 _LESS_URGENT = build_stream_route(
@@ -74,3 +76,20 @@
     assert timedelta() < soon
     assert soon < late
     assert late <= timedelta(seconds=2)
+
+
+def test_the_rank_of_a_team_makes_none_of_its_kinds_less_urgent():
+    """Guards against refusing even the most urgent streams of a team."""
+    overload = OverloadControl(ManualClock())
+    team = Team('late', 2)
+    table = build_team_table({'k': team}, 1, _LESS_URGENT, _MOST_URGENT)
+
+    longest_waits = [
+        overload.longest_wait(
+            table, table.effective_route(route, team), 'f', _REMAINING
+        )
+        for route in table.routes
+    ]
+
+    assert longest_waits[0] < 2 * _LESS_URGENT.target
+    assert longest_waits[1] > timedelta(seconds=5)
