Test the priority that engines get, direct and relayed

Cause: no test covered the combined number on its way to an engine. Change: a test over sockets with one and with two regions. Result: it passes; route priority 1 of a team with priority 1 arrives as 4.

--- a/tests/edges/test_teams.py
+++ b/tests/edges/test_teams.py
@@ -24,6 +24,7 @@
 )
 from tests.forwarding_builders import (
     build_route,
+    build_stream_route,
     build_table,
     build_team_table,
 )
@@ -206,6 +207,25 @@
     assert not any(_KEY.encode() in relay for relay in relays)
 
 
+@run_with_timeout
+async def test_engines_get_the_priority_of_team_and_route_in_one_number():
+    """Guards against relays that lose the team's priority."""
+    route = build_stream_route(priority=1)
+    table = build_team_table({_KEY: _RED}, 1, route)
+    counts = (b'x-token-counts', b'900,50')
+    for deploy in (deploy_entry, deploy_two_regions):
+        async with deploy(table) as deployed:
+            deployment = (
+                deployed[0] if deploy is deploy_two_regions else deployed
+            )
+            await deployment.request(b'/ask/1', b'question', _BEARER, counts)
+
+            received = _received(deployment)
+            assert [fields['x-request-priority'] for fields in received] == [
+                '4'
+            ]
+
+
 @run_with_timeout
 async def test_a_key_that_a_peer_relays_goes_no_further():
     """Guards against peers that have not read the teams, or are older."""
