--- a/src/masticstage/forwarding/overload.py
+++ b/src/masticstage/forwarding/overload.py
@@ -65,7 +65,7 @@
         longest = _REMAINING_SHARE * remaining
         is_stream = route.kind is CallKind.STREAMING
         is_exempt = (
-            route.priority <= table.most_urgent_priority(route)
+            route.own_priority <= table.most_urgent_priority(route)
             and excess <= _MAX_URGENT_EXCESS
         )
         if not is_stream or is_exempt or self._has_reservation(fingerprint):
