Keep lists of upstreams and members between changes

Each choice listed the usable upstreams of its service and the live instances of each region anew. Both change only with a record, a notice or a member, so they are kept until then. Rests of upstreams are looked at only while one may be resting.

Chooser.choose, processor time, minimum of 250 batches of 20: 215 to 178 us with 31 engines and 31 members, 312 to 218 us with 62 and 122; look-ups of the small service 102 to 77 and 142 to 78 us.

--- a/src/masticstage/forwarding/candidate_finder.py
+++ b/src/masticstage/forwarding/candidate_finder.py
@@ -13,7 +13,7 @@
 from masticstage.forwarding.routes import Route, ServiceConfig
 from masticstage.forwarding.view import FleetView, KnownUpstream
 from masticstage.forwarding.warmups import chosen_sender, cold_interval_s
-from masticstage.membership import Liveness, Member, MemberTable
+from masticstage.membership import Member, MemberTable
 
 
 @final
@@ -51,13 +51,13 @@
                 relays[record.data_centre] = self._pick_relay(record)
             via = relays.get(record.data_centre)
             is_reachable = via is not None or record.region == own_region
-            if is_reachable and self._is_usable(upstream, service_config, via):
-                yield Candidate(
-                    upstream,
-                    service_config,
-                    self._state(upstream, service_config),
-                    via,
-                )
+            candidate = (
+                self._usable_candidate(upstream, service_config, via)
+                if is_reachable
+                else None
+            )
+            if candidate is not None:
+                yield candidate
 
     def copy_sources(self, route: Route, service: str) -> Iterator[Candidate]:
         """Yields engines that get no requests but may hold prefixes.
@@ -74,25 +74,27 @@
             ):
                 yield Candidate(upstream, service_config, state, None)
 
-    def _is_usable(
+    def _usable_candidate(
         self,
         upstream: KnownUpstream,
         service_config: ServiceConfig,
         via: Member | None,
-    ) -> bool:
-        """Returns whether an upstream may get a request now.
+    ) -> Candidate | None:
+        """Returns the candidate if its upstream may get a request now.
 
         A cold upstream whose rate is limited gets requests only from its own
         region.
         """
         state = self._state(upstream, service_config)
         if state.health.is_suspected:
-            return False
-        if not service_config.cold_rate or not self.is_cold(upstream):
-            return True
-        if via is not None:
-            return False
-        return self._may_send_cold(upstream, service_config, state)
+            return None
+        is_limited = service_config.cold_rate and self.is_cold(upstream)
+        if is_limited and (
+            via is not None
+            or not self._may_send_cold(upstream, service_config, state)
+        ):
+            return None
+        return Candidate(upstream, service_config, state, via)
 
     def _may_send_cold(
         self,
@@ -105,8 +107,7 @@
         names = [own.identity.name]
         names.extend(
             member.identity.name
-            for member in self._members.others()
-            if member.region == own.region and member.liveness is Liveness.LIVE
+            for member in self._members.live_in_place(own.region)
         )
         if chosen_sender(upstream.record.name, names) != own.identity.name:
             return False
@@ -118,15 +119,8 @@
 
         Instances in the data centre of the upstream are preferred.
         """
-        live = [
-            member
-            for member in self._members.others()
-            if member.region == record.region
-            and member.liveness is Liveness.LIVE
-        ]
-        nearby = [
-            peer for peer in live if peer.data_centre == record.data_centre
-        ]
+        live = self._members.live_in_place(record.region)
+        nearby = self._members.live_in_place(record.region, record.data_centre)
         return self._random.choice(nearby or live) if live else None
 
     def _state(
--- a/src/masticstage/forwarding/upstream_notices.py
+++ b/src/masticstage/forwarding/upstream_notices.py
@@ -58,6 +58,13 @@
     _copy_time: timedelta
     _leaving: dict[_Start, _Leaving] = attrs.field(factory=dict)
     _rests: dict[_Start, timedelta] = attrs.field(factory=dict)
+    _latest_rest: timedelta = timedelta()
+    _changes: int = 0
+
+    @property
+    def changes(self) -> int:
+        """How often the set of leaving upstreams has changed."""
+        return self._changes
 
     @property
     def is_empty(self) -> bool:
@@ -74,6 +81,7 @@
         noticed_at = known.noticed_at if known else now
         self._leaving[start] = _Leaving(noticed_at, is_own)
         _drop_oldest(self._leaving)
+        self._changes += 1
         return True
 
     def record_rest(self, record: UpstreamRecord, rest: timedelta) -> bool:
@@ -88,12 +96,17 @@
         self._rests.pop(start, None)
         self._rests[start] = until
         _drop_oldest(self._rests)
+        self._latest_rest = max(self._latest_rest, until)
         return True
 
     def is_leaving(self, record: UpstreamRecord) -> bool:
         """Returns whether an upstream is known to leave."""
         return _start_of(record) in self._leaving
 
+    def has_rests(self) -> bool:
+        """Returns whether any upstream may still rest."""
+        return self._latest_rest > self._clock.elapsed()
+
     def rest_left(self, record: UpstreamRecord) -> timedelta:
         """Returns how long an upstream still rests, zero if it does not."""
         until = self._rests.get(_start_of(record))
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -1,6 +1,7 @@
 """The published state in use: routes, upstreams, evacuated data centres."""
 
-from collections.abc import Iterator
+from collections import defaultdict
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import Final, final
 
@@ -28,6 +29,19 @@
     cold_until: timedelta
 
 
+@attrs.frozen
+class _ServiceLists:
+    """The upstreams as of a number of changes of the notices.
+
+    `usable` may get new requests, `emptied_of` are leaving or evacuated.
+    """
+
+    notice_changes: int
+    usable: list[KnownUpstream]
+    usable_of: dict[str, list[KnownUpstream]]
+    emptied_of: dict[str, list[KnownUpstream]]
+
+
 @final
 @attrs.define
 class FleetView:
@@ -44,6 +58,7 @@
     _evacuations: dict[str, Evacuation] = attrs.field(factory=dict)
     _deferred_removals: dict[str, timedelta | None] = attrs.field(factory=dict)
     _notices: UpstreamNotices = attrs.field(init=False)
+    _kept_lists: _ServiceLists | None = None
 
     def __attrs_post_init__(self) -> None:
         """Starts without notices of upstreams."""
@@ -76,6 +91,7 @@
         Returns a description of the change for the log, empty if there is none.
         """
         self._deferred_removals.pop(key, None)
+        self._kept_lists = None
         match published:
             case RouteTable():
                 return self._apply_table(published)
@@ -96,6 +112,7 @@
         the platform. Returns a description of the change for the log, empty if
         there is none.
         """
+        self._kept_lists = None
         evacuation = self._evacuations.pop(key, None)
         if evacuation is not None:
             return f'end of evacuation of {evacuation.data_centre}'
@@ -121,16 +138,19 @@
             self._deferred_removals[key] = due_at
             if due_at is not None and due_at <= self._clock.elapsed():
                 self._deferred_removals.pop(key)
+                self._kept_lists = None
                 removed.append(self._upstreams.pop(key).record.name)
         return removed
 
     def upstreams_of(self, service: str) -> list[KnownUpstream]:
         """Returns the upstreams of a service that may get new requests."""
+        usable = self._lists().usable_of.get(service, [])
+        if not self._notices.has_rests():
+            return usable.copy()
         return [
             upstream
-            for upstream in self._usable()
-            if upstream.record.service == service
-            and not self._notices.rest_left(upstream.record)
+            for upstream in usable
+            if not self._notices.rest_left(upstream.record)
         ]
 
     def emptied_of(self, service: str) -> list[KnownUpstream]:
@@ -138,18 +158,15 @@
 
         They get no new requests, but engines may copy prefixes from them.
         """
-        usable = {upstream.record.name for upstream in self._usable()}
         return [
             upstream
-            for upstream in self._upstreams.values()
-            if upstream.record.service == service
-            and upstream.record.name not in usable
-            and self._notices.may_copy_from(upstream.record)
+            for upstream in self._lists().emptied_of.get(service, [])
+            if self._notices.may_copy_from(upstream.record)
         ]
 
     def find(self, name: str) -> KnownUpstream | None:
         """Returns an upstream that may get new requests, by name."""
-        usable = self._usable()
+        usable = self._lists().usable
         return next(
             (upstream for upstream in usable if upstream.record.name == name),
             None,
@@ -174,14 +191,21 @@
             if upstream.record.name == name:
                 upstream.cold_until = until
 
-    def _usable(self) -> Iterator[KnownUpstream]:
-        evacuated = self.evacuated
-        return (
-            upstream
-            for upstream in self._upstreams.values()
-            if not self._leaves(upstream.record)
-            and upstream.record.data_centre not in evacuated
-        )
+    def _lists(self) -> _ServiceLists:
+        """Returns the lists of upstreams, built anew only after changes."""
+        kept = self._kept_lists
+        changes = self._notices.changes
+        if kept is None or kept.notice_changes != changes:
+            evacuated = self.evacuated
+            usable = [
+                upstream
+                for upstream in self._upstreams.values()
+                if not self._leaves(upstream.record)
+                and upstream.record.data_centre not in evacuated
+            ]
+            kept = _build_lists(changes, usable, self._upstreams.values())
+            self._kept_lists = kept
+        return kept
 
     def _leaves(self, record: UpstreamRecord) -> bool:
         return record.is_leaving or self._notices.is_leaving(record)
@@ -197,3 +221,26 @@
         self._upstreams[key] = KnownUpstream(record, until)
         state = 'leaving' if record.is_leaving else 'ready'
         return f'upstream {record.name} {state}'
+
+
+def _build_lists(
+    notice_changes: int,
+    usable: list[KnownUpstream],
+    upstreams: Iterable[KnownUpstream],
+) -> _ServiceLists:
+    names = {upstream.record.name for upstream in usable}
+    emptied = [
+        upstream for upstream in upstreams if upstream.record.name not in names
+    ]
+    return _ServiceLists(
+        notice_changes, usable, _by_service(usable), _by_service(emptied)
+    )
+
+
+def _by_service(
+    upstreams: Iterable[KnownUpstream],
+) -> dict[str, list[KnownUpstream]]:
+    by_service: dict[str, list[KnownUpstream]] = defaultdict(list)
+    for upstream in upstreams:
+        by_service[upstream.record.service].append(upstream)
+    return by_service
--- a/src/masticstage/membership.py
+++ b/src/masticstage/membership.py
@@ -99,6 +99,10 @@
     _expected_size: int = 0
     _supersedes_itself: bool = False
     _entries: dict[str, _Entry] = attrs.field(factory=dict)
+    _others: tuple[Member, ...] | None = None
+    _live_places: dict[tuple[str, str | None], tuple[Member, ...]] = (
+        attrs.field(factory=dict)
+    )
 
     @property
     def own(self) -> Member:
@@ -107,11 +111,13 @@
 
     def others(self) -> tuple[Member, ...]:
         """Records of all other instances that are not gone."""
-        return tuple(
-            entry.member
-            for entry in self._entries.values()
-            if entry.member.liveness is not Liveness.GONE
-        )
+        if self._others is None:
+            self._others = tuple(
+                entry.member
+                for entry in self._entries.values()
+                if entry.member.liveness is not Liveness.GONE
+            )
+        return self._others
 
     def gone(self) -> tuple[Member, ...]:
         """Records of instances that are gone and may return."""
@@ -147,6 +153,23 @@
             and member.liveness is Liveness.LIVE
         )
 
+    def live_in_place(
+        self, region: str, data_centre: str | None = None
+    ) -> tuple[Member, ...]:
+        """Other live instances of a region, or of one of its data centres."""
+        place = (region, data_centre)
+        kept = self._live_places.get(place)
+        if kept is None:
+            kept = tuple(
+                member
+                for member in self.others()
+                if member.region == region
+                and member.liveness is Liveness.LIVE
+                and data_centre in {None, member.data_centre}
+            )
+            self._live_places[place] = kept
+        return kept
+
     def merge(self, records: Iterable[Member]) -> tuple[Member, ...]:
         """Merges records; returns those that changed the table."""
         return tuple(record for record in records if self._merge_record(record))
@@ -218,6 +241,7 @@
         for entry in self._entries_unchanged_for(removal_age):
             if entry.member.liveness >= Liveness.GONE:
                 self._entries.pop(entry.member.identity.name)
+                self._forget_lists()
 
     def _entries_unchanged_for(self, duration: timedelta) -> list[_Entry]:
         now = self._clock.elapsed()
@@ -272,8 +296,13 @@
             self._clock.elapsed(),
             _SENDS_PER_DOUBLING * size.bit_length(),
         )
+        self._forget_lists()
         return member
 
+    def _forget_lists(self) -> None:
+        self._others = None
+        self._live_places.clear()
+
 
 def _by_sends_left(entry: _Entry) -> int:
     return entry.sends_left
