Compute what the candidates of a choice share once

The prediction for a candidate asked twice for its requests in flight and its outcomes, each with a reading of the clock and new objects. Open connections were looked for at every upstream of the region although three are enough.

--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -96,10 +96,12 @@
     """Values shared by the predictions for all candidates of one choice.
 
     `source` is where the shared prefix of the prompt can be copied from,
-    `typical_failure_rate` the median over the candidates.
+    `failure_rates` are those of the candidates by name, and
+    `typical_failure_rate` is their median.
     """
 
     source: Candidate | None
+    failure_rates: dict[str, float]
     typical_failure_rate: float
 
 
@@ -110,6 +112,7 @@
     expected_s: float
     tokens_ahead: float
     queue_s: float
+    requests_ahead: int
 
 
 @final
@@ -261,7 +264,13 @@
             if allowed_candidate.name not in tried
         ]
         sampled = self._sampler.draw(untried, request.prompt, source)
-        comparison = _Comparison(source, self._typical_failure_rate(sampled))
+        rates = {
+            candidate.name: self._loads.outcomes(candidate.state).failure_rate
+            for candidate in sampled
+        }
+        # The median is the lower of two middle ones.
+        typical_rate = median_low(rates.values()) if rates else 0
+        comparison = _Comparison(source, rates, typical_rate)
         return [
             self._predict(candidate, request, route, comparison)
             for candidate in sampled
@@ -303,18 +312,14 @@
         )
         target_s = route.target.total_seconds() or _DEFAULT_TARGET_S
         cost += _latency_cost(timing.expected_s / target_s)
-        cost += self._failure_cost(
-            candidate,
-            route,
-            comparison.typical_failure_rate,
-        )
+        cost += _failure_cost(candidate, route, comparison)
         cost += self._transfer_cost(candidate)
         return Choice(
             candidate,
             timing.expected_s,
             cost,
             uncached_tokens,
-            self._requests_ahead(candidate),
+            timing.requests_ahead,
             fetch_from,
             unverified_tokens,
             self._loads.tokens_ahead(candidate.state, _ALL_PRIORITIES),
@@ -356,7 +361,8 @@
         """Returns the predicted time to the first event or the answer."""
         service = candidate.service_config.name
         tokens_ahead = self._loads.tokens_ahead(candidate.state, priority)
-        queue_s = self._queue_s(candidate)
+        requests_ahead = self._requests_ahead(candidate)
+        queue_s = self._queue_s(candidate, requests_ahead)
         if candidate.service_config.engine is None:
             serve_s = self.expected_call_s(service)
         else:
@@ -367,9 +373,9 @@
         expected_s = (serve_s + wait_s) * candidate.state.latency_ratio
         if candidate.via is not None:
             expected_s += self._round_trip_s(candidate.via.region)
-        return _Timing(expected_s, tokens_ahead, queue_s)
+        return _Timing(expected_s, tokens_ahead, queue_s, requests_ahead)
 
-    def _queue_s(self, candidate: Candidate) -> float:
+    def _queue_s(self, candidate: Candidate, requests_ahead: int) -> float:
         """Returns the wait for a slot in a queue without priorities."""
         service = candidate.service_config.name
         if candidate.service_config.engine is None:
@@ -378,7 +384,7 @@
             slot_s = _FIRST_EVENT_S + self._streams_s.get(
                 service, _DEFAULT_STREAM_S
             )
-        return slot_s * self._requests_ahead(candidate) / candidate.slots
+        return slot_s * requests_ahead / candidate.slots
 
     def _requests_ahead(self, candidate: Candidate) -> int:
         """Returns how many requests have to end before a new one starts."""
@@ -394,25 +400,6 @@
             cost += _CROSS_DATA_CENTRE_COST
         return cost
 
-    def _typical_failure_rate(self, candidates: Sequence[Candidate]) -> float:
-        """Returns the median failure rate, the lower of two middle ones."""
-        rates = [
-            self._loads.outcomes(candidate.state).failure_rate
-            for candidate in candidates
-        ]
-        return median_low(rates) if rates else 0
-
-    def _failure_cost(
-        self,
-        candidate: Candidate,
-        route: Route,
-        typical_rate: float,
-    ) -> float:
-        """Returns the cost of failures beyond the typical rate and chance."""
-        cost = _RETRY_COST if route.is_idempotent else _FAILURE_COST
-        rate = self._loads.outcomes(candidate.state).failure_rate
-        return cost * max(0, rate - typical_rate - _FAILURE_TOLERANCE)
-
     def _round_trip_s(self, region: str) -> float:
         return self._round_trips_s.get(region, _DEFAULT_ROUND_TRIP_S)
 
@@ -430,6 +417,16 @@
     return choice.cost
 
 
+def _failure_cost(
+    candidate: Candidate, route: Route, comparison: _Comparison
+) -> float:
+    """Returns the cost of failures beyond the typical rate and chance."""
+    cost = _RETRY_COST if route.is_idempotent else _FAILURE_COST
+    rate = comparison.failure_rates[candidate.name]
+    excess = rate - comparison.typical_failure_rate - _FAILURE_TOLERANCE
+    return cost * max(0, excess)
+
+
 def _latency_cost(target_ratio: float) -> float:
     """Returns the cost of a predicted time, as a ratio to the target."""
     exponent = min((_LATE_MIDPOINT - target_ratio) / _LATE_SCALE, _MAX_EXPONENT)
--- a/src/masticstage/forwarding/health.py
+++ b/src/masticstage/forwarding/health.py
@@ -53,6 +53,8 @@
 
     def outcomes(self, now_s: float) -> Outcomes:
         """Returns the counts of own outcomes, decayed to the given time."""
+        if not self._outcomes.total:
+            return self._outcomes
         decay = 2 ** ((self._counted_at_s - now_s) / _HALF_LIFE_S)
         return Outcomes(
             self._outcomes.failed * decay,
--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -336,7 +336,8 @@
     priority: int,
 ) -> float:
     """Returns the pending tokens to prefill before a prompt of a priority."""
-    return sum(
-        tokens if pending_priority <= priority else _STARTED_SHARE * tokens
-        for pending_priority, tokens in pending
-    )
+    ahead: float = 0
+    for pending_priority, tokens in pending:
+        is_ahead = pending_priority <= priority
+        ahead += tokens if is_ahead else _STARTED_SHARE * tokens
+    return ahead
--- a/src/masticstage/forwarding/sampling.py
+++ b/src/masticstage/forwarding/sampling.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from itertools import chain, islice
 from random import Random
 from typing import Final, final
 
@@ -63,7 +64,7 @@
                 *self._draw_remote(candidates),
             )
         }
-        names = {candidate.name for candidate in candidates}
+        names = {candidate.name for candidate in candidates if preferred}
         for candidate in preferred:
             if candidate.name in names:
                 sampled.setdefault(candidate.name, candidate)
@@ -77,14 +78,14 @@
         """Returns a sample of this region; some have an open connection."""
         local = [candidate for candidate in candidates if candidate.via is None]
         self._random.shuffle(local)
-        connected = [
-            candidate for candidate in local if self.has_connection(candidate)
-        ][:_CONNECTED_SAMPLE]
+        connected = list(
+            islice(filter(self.has_connection, local), _CONNECTED_SAMPLE)
+        )
         names = {candidate.name for candidate in connected}
-        others = [
+        others = (
             candidate for candidate in local if candidate.name not in names
-        ]
-        return [*connected, *others][:_LOCAL_SAMPLE]
+        )
+        return list(islice(chain(connected, others), _LOCAL_SAMPLE))
 
     def _draw_remote(self, candidates: Sequence[Candidate]) -> list[Candidate]:
         remote = [
