--- a/src/masticstage/entry.py
+++ b/src/masticstage/entry.py
@@ -4,6 +4,7 @@
 eighth of the start-up time. Callers of a restarted instance wait for its start.
 """
 
+import gc
 import os
 import sys
 from pathlib import Path
@@ -44,4 +45,7 @@
 async def _run(settings_file: SettingsFile) -> None:
     async with trio.open_nursery() as nursery:
         gateway = build_gateway(settings_file, SystemClock(), nursery)
+        # The program keeps what exists now, so that is not looked through.
+        gc.freeze()
+        gc.enable()
         await run_gateway(gateway)
