Let the timers of an idle instance expire together

Ticks, rounds of gossip, the check of the settings and the discarding of unused state each woke an instance on their own. They now expire at common moments; an instance without open requests and deferred removals ticks every 0.25 s, a busy one every 0.125 s (0.15 s before).

--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -33,7 +33,7 @@
 from masticstage.forwarding.routes import CallerLimits
 from masticstage.forwarding.view import FleetView
 from masticstage.forwarding.wire import WireFormat
-from masticstage.membership import Liveness, MemberTable
+from masticstage.membership import MemberTable
 from masticstage.metrics import Metrics
 
 AsyncFunction = Callable[..., Awaitable[object]]
@@ -178,11 +178,7 @@
 
     def live_count(self) -> int:
         """Returns the number of instances that are not gone, with this one."""
-        others = self.views.members.others()
-        live = [
-            member for member in others if member.liveness is not Liveness.GONE
-        ]
-        return 1 + len(live)
+        return 1 + len(self.views.members.others())
 
     def spawn(self, function: AsyncFunction, *args: Any) -> None:
         """Starts a function as a task; its failure is only logged."""
--- a/src/masticstage/edges/gossip.py
+++ b/src/masticstage/edges/gossip.py
@@ -25,6 +25,7 @@
 from masticstage.edges.http_client import OutgoingRequest
 from masticstage.edges.messages import decode_updates
 from masticstage.edges.records import apply_updates
+from masticstage.edges.timers import sleep_until_next
 from masticstage.exceptions import BrokenConnectionError, ConnectError
 from masticstage.membership import Liveness, Member
 
@@ -95,7 +96,7 @@
                 gateway.spawn(_join_through, gateway, seed)
         state.round_number += 1
         gateway.views.retry_budget.record_instances(gateway.live_count())
-        await trio.sleep(_INTERVAL_S)
+        await sleep_until_next(_INTERVAL_S)
 
 
 def _start_exchange(gateway: Gateway, member: Member) -> None:
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -27,14 +27,16 @@
     watch_records,
 )
 from masticstage.edges.serving import serve_caller
+from masticstage.edges.timers import sleep_until_next
 from masticstage.forwarding.drain_times import answer_time, stop_time
 from masticstage.forwarding.routes import CallerLimits
 from masticstage.forwarding.wire import RawRequest
 
-#: Interval of the ticks that detect a pause of the process, start health checks
-#: and apply removals. One task does all three, since each wake-up of each
-#: instance costs processor time.
-_TICK_S: Final = 0.15
+#: Intervals of the ticks that detect a pause of the process, start health
+#: checks and apply removals. One task does all three, since each wake-up of
+#: each instance costs processor time. Gossip rounds fall on the same moments.
+_TICK_S: Final = 0.125
+_IDLE_TICK_S: Final = 0.25
 #: Delay of the event loop that is logged.
 _LATE: Final = timedelta(milliseconds=100)
 #: Pause before a failed background task is restarted, and interval of the
@@ -145,9 +147,12 @@
 
 async def _sleep_until_tick(gateway: Gateway) -> None:
     """Sleeps, and records how late the event loop woke up."""
-    due_s = trio.current_time() + _TICK_S
-    await trio.sleep_until(due_s)
-    late_by = timedelta(seconds=max(0, trio.current_time() - due_s))
+    is_busy = (
+        gateway.activity.open_requests
+        or gateway.views.fleet.has_deferred_removals
+    )
+    late_s = await sleep_until_next(_TICK_S if is_busy else _IDLE_TICK_S)
+    late_by = timedelta(seconds=late_s)
     gateway.metrics.record('event_loop.late', late_by)
     if late_by > _LATE:
         gateway.log.record(
@@ -173,7 +178,7 @@
 async def _watch_settings(gateway: Gateway) -> None:
     """Reloads the settings when their file has changed."""
     while True:
-        await trio.sleep(_SETTINGS_POLL_INTERVAL_S)
+        await sleep_until_next(_SETTINGS_POLL_INTERVAL_S)
         if gateway.settings_file.has_changed():
             _reload(gateway)
 
@@ -188,7 +193,7 @@
 async def _discard_unused(gateway: Gateway) -> None:
     """Discards expired connections and the state of removed upstreams."""
     while True:
-        await trio.sleep(_DISCARD_INTERVAL_S)
+        await sleep_until_next(_DISCARD_INTERVAL_S)
         upstreams = gateway.views.fleet.all_upstreams()
         gateway.views.loads.keep_only(
             [upstream.record.name for upstream in upstreams]
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -81,6 +81,11 @@
             evacuation.data_centre for evacuation in self._evacuations.values()
         )
 
+    @property
+    def has_deferred_removals(self) -> bool:
+        """Whether removals wait to be applied."""
+        return bool(self._deferred_removals)
+
     def service_config(self, service: str) -> ServiceConfig | None:
         """Returns the configuration of a service, None without any."""
         return self._table.services.get(service) if self._table else None
@@ -179,7 +184,7 @@
     def is_leaving(self, name: str) -> bool:
         """Returns whether an upstream is leaving or no longer published."""
         return all(
-            self._leaves(upstream.record)
+            _leaves(upstream.record, self._notices)
             for upstream in self._upstreams.values()
             if upstream.record.name == name
         )
@@ -200,16 +205,13 @@
             usable = [
                 upstream
                 for upstream in self._upstreams.values()
-                if not self._leaves(upstream.record)
+                if not _leaves(upstream.record, self._notices)
                 and upstream.record.data_centre not in evacuated
             ]
             kept = _build_lists(changes, usable, self._upstreams.values())
             self._kept_lists = kept
         return kept
 
-    def _leaves(self, record: UpstreamRecord) -> bool:
-        return record.is_leaving or self._notices.is_leaving(record)
-
     def _apply_table(self, table: RouteTable) -> str:
         if self._table is not None and self._table.version > table.version:
             return f'version {table.version} is older than the one in force'
@@ -223,6 +225,10 @@
         return f'upstream {record.name} {state}'
 
 
+def _leaves(record: UpstreamRecord, notices: UpstreamNotices) -> bool:
+    return record.is_leaving or notices.is_leaving(record)
+
+
 def _build_lists(
     notice_changes: int,
     usable: list[KnownUpstream],
