Keep connections that are too old for one request for the others

A call that may run only once takes no connection that was idle for over 0.25 s, and closed all of them while looking. They are now kept for requests that may be repeated, up to the limit of the pool (1 s); the limit for calls that may run only once is unchanged.

--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -373,16 +373,18 @@
     ) -> Connection | None:
         """Returns the last used connection that is usable, if any.
 
-        Closes those that are not.
+        Closes those that no request may use. One that was idle for too long
+        for this request is kept for one that may be repeated.
         """
         idle = self._idle.get(address, [])
         passed_over: list[Connection] = []
         found = None
         while idle and found is None:
             connection = idle.pop()
-            if connection.idle_s > limit_s or not connection.has_no_input():
+            idle_s = connection.idle_s
+            if idle_s > self._max_idle_s or not connection.has_no_input():
                 connection.close()
-            elif connection.may_carry(request_id):
+            elif idle_s <= limit_s and connection.may_carry(request_id):
                 found = connection
             else:
                 passed_over.append(connection)
