Read the fourth figure of a reported load

Upstreams that share their machines report a fourth figure in their load: how long work takes there now, where 100 is usual. The split expected three figures, so the whole load was dropped and no deployment with four used one.

Three or four figures are read now; an unusable fourth costs only itself. Observed times are divided by it before they enter the averages. Health checks record it too; three figures in them stay unused, as before. Homes of prompts do not depend on it.

Before: all 8 cases of test_a_bad_slowdown_costs_only_itself fail on the old code (ReportedLoad has no such field). Now tests/forwarding, tests/platform, tests/patterns and three modules of tests/edges pass.

--- a/src/masticstage/edges/dispatch_log.py
+++ b/src/masticstage/edges/dispatch_log.py
@@ -119,10 +119,17 @@
     choice: Choice,
     took_s: float,
 ) -> None:
-    """Records how long a direct dispatch took, for later predictions."""
-    gateway.views.loads.record_latency_ratio(
-        choice.candidate.state,
-        choice.candidate.state.latency_ratio * took_s / choice.expected_s,
+    """Records how long a direct dispatch took, for later predictions.
+
+    The slowdown that the answer reported is taken out, since it has passed when
+    the predictions are used.
+    """
+    state = choice.candidate.state
+    loads = gateway.views.loads
+    slowdown = state.slowdown.expected(gateway.elapsed_s())
+    took_s = choice.at_usual_speed(took_s, slowdown)
+    loads.record_latency_ratio(
+        state, state.latency_ratio * took_s / choice.usual_s
     )
     if routed.is_stream:
         gateway.views.chooser.record_first_event(
--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -25,7 +25,9 @@
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.crash_causes import Causes, identify_crash
 from masticstage.forwarding.evidence import Evidence
+from masticstage.forwarding.published import UpstreamRecord
 from masticstage.forwarding.view import KnownUpstream
+from masticstage.forwarding.wire import AnswerFacts
 
 #: Timeout of a check, which a busy upstream queues like any request.
 _CHECK_TIMEOUT_S: Final = 0.6
@@ -228,6 +230,7 @@
             record.name,
             'another instance answers at its address',
         )
+    _record_slowdown(gateway, record, facts)
     if head.status != HTTPStatus.OK and not facts.is_not_run:
         return UpstreamFailedError(
             record.name,
@@ -238,6 +241,16 @@
     return None
 
 
+def _record_slowdown(
+    gateway: Gateway, record: UpstreamRecord, facts: AnswerFacts
+) -> None:
+    """Records the load that comes with how long work takes there now."""
+    if facts.load is not None and facts.load.slowdown is not None:
+        loads = gateway.views.loads
+        state = loads.state(record.name, record.started_at_ms)
+        loads.record_report(state, facts.load)
+
+
 def _mark_suspect(
     gateway: Gateway, upstream: KnownUpstream, reason: str
 ) -> None:
--- a/src/masticstage/forwarding/candidates.py
+++ b/src/masticstage/forwarding/candidates.py
@@ -48,7 +48,9 @@
     may or may not be cached, `backlog_tokens` the prompt tokens of other
     requests that the upstream still has to prefill, `tokens_ahead` those of
     them that come before this one. `queue_s` is the part of `expected_s` for
-    `requests_ahead` before it is corrected by what was learnt.
+    `requests_ahead` before it is corrected by what was learnt, `service_s` the
+    part that depends on the speed of the upstream, as it usually is, and
+    `slowdown` how many times longer that part takes at this moment.
     """
 
     candidate: Candidate
@@ -61,6 +63,22 @@
     backlog_tokens: float = 0
     tokens_ahead: float = 0
     queue_s: float = 0
+    service_s: float = 0
+    slowdown: float = 1
+
+    @property
+    def usual_s(self) -> float:
+        """The expected time at the usual speed of the upstream."""
+        return self.expected_s - self.service_s * (self.slowdown - 1)
+
+    def at_usual_speed(self, observed_s: float, slowdown: float) -> float:
+        """Returns an observed time as it would be without the slowdown.
+
+        `slowdown` is the one that the answer reported.
+        """
+        usual_s = self.usual_s
+        expected_s = usual_s + self.service_s * (slowdown - 1)
+        return observed_s * usual_s / expected_s
 
     @property
     def upstream(self) -> str:
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -110,6 +110,8 @@
     expected_s: float
     tokens_ahead: float
     queue_s: float
+    service_s: float
+    slowdown: float
 
 
 @final
@@ -320,6 +322,8 @@
             self._loads.tokens_ahead(candidate.state, _ALL_PRIORITIES),
             timing.tokens_ahead,
             timing.queue_s,
+            timing.service_s,
+            timing.slowdown,
         )
 
     def _missing_cost(
@@ -364,10 +368,18 @@
                 service, tokens_ahead + uncached_tokens
             )
         wait_s = queue_s * self._first_events.wait_factor(service, priority)
-        expected_s = (serve_s + wait_s) * candidate.state.latency_ratio
+        ratio, slowdown = self._speed(candidate)
+        expected_s = (serve_s * slowdown + wait_s) * ratio
         if candidate.via is not None:
             expected_s += self._round_trip_s(candidate.via.region)
-        return _Timing(expected_s, tokens_ahead, queue_s)
+        return _Timing(
+            expected_s, tokens_ahead, queue_s, serve_s * ratio, slowdown
+        )
+
+    def _speed(self, candidate: Candidate) -> tuple[float, float]:
+        """Returns the long-run ratio of times and the one of this moment."""
+        state = candidate.state
+        return state.latency_ratio, state.slowdown.expected(self._now_s())
 
     def _queue_s(self, candidate: Candidate) -> float:
         """Returns the wait for a slot in a queue without priorities."""
--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -15,6 +15,7 @@
 from masticstage.clock import Clock
 from masticstage.forwarding.health import Health, Outcomes
 from masticstage.forwarding.prompts import PromptCache
+from masticstage.forwarding.slowdowns import Slowdown, bound_slowdown
 
 #: Weight of a new observation in a moving average.
 _WEIGHT: Final = 0.2
@@ -37,11 +38,16 @@
 
 @attrs.frozen
 class ReportedLoad:
-    """Running and waiting requests at an upstream, and its slots."""
+    """Running and waiting requests at an upstream, and its slots.
+
+    `slowdown` is how many times longer than usual work takes there at this
+    moment, None if the upstream does not tell.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 #: Pairs of a priority and the prompt tokens of requests that have had no event.
@@ -105,6 +111,7 @@
     reported: ReportedLoad | None = None
     reported_at_s: float = 0
     in_flight_when_reported: int = 0
+    slowdown: Slowdown = Slowdown()
     health: Health = attrs.field(factory=Health)
     relay_health: Health = attrs.field(factory=Health)
     latency_ratio: float = 1
@@ -188,6 +195,8 @@
         state.reported = load
         state.reported_at_s = self._now_s()
         state.in_flight_when_reported = state.direct.in_flight
+        if load.slowdown is not None:
+            state.slowdown = bound_slowdown(load.slowdown, state.reported_at_s)
 
     def record_outcome(
         self,
--- a/src/masticstage/platform/upstreams.py
+++ b/src/masticstage/platform/upstreams.py
@@ -21,6 +21,9 @@
 _MS: Final = timedelta(milliseconds=1)
 #: The highest number that engines accept; higher numbers are less urgent.
 _LEAST_URGENT_PRIORITY: Final = 9
+#: Figures of a load that includes how long work takes, and the usual value.
+_COUNTS_WITH_WORK: Final = 4
+_USUAL_WORK: Final = 100
 #: Content encodings that leave the body as it is.
 _IDENTITY_ENCODINGS: Final = frozenset((b'', b'identity'))
 
@@ -92,16 +95,31 @@
 
 
 def _read_load(field: bytes | None) -> ReportedLoad | None:
+    """Returns the load of an upstream, from three figures or four.
+
+    The fourth is how long work takes there. If it is unusable, the others are
+    still valid.
+    """
     if field is None:
         return None
+    counts, work = field.split(b','), b''
+    if len(counts) == _COUNTS_WITH_WORK:
+        work = counts.pop()
     try:
         running, waiting, slots = (
-            int(read_number(int(count), MAX_COUNT))
-            for count in field.split(b',')
+            int(read_number(int(count), MAX_COUNT)) for count in counts
         )
     except ValueError:
         return None
-    return ReportedLoad(running, waiting, slots)
+    return ReportedLoad(running, waiting, slots, _read_slowdown(work))
+
+
+def _read_slowdown(work: bytes) -> float | None:
+    try:
+        ratio = read_number(float(work), MAX_COUNT) / _USUAL_WORK
+    except ValueError:
+        return None
+    return ratio or None
 
 
 def _read_warmup(field: bytes | None) -> timedelta:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -55,7 +55,8 @@
     While it `is_leaving`, each answer says so. `requests` has the headers of
     each request, with its target as `path`; `executed_ids` has the ids of those
     that ran. A request whose prompt has the `deadly_part` crashes the upstream:
-    `serve` ends. `rest` is the Retry-After of a refusal with the fault REST.
+    `serve` ends. `rest` is the Retry-After of a refusal with the fault REST,
+    `load` what it reports as its load.
     """
 
     name: str
@@ -69,6 +70,7 @@
     is_healthy: bool = True
     is_leaving: bool = False
     rest: str = '1'
+    load: str = '1,0,8'
     ignores_health_checks: bool = False
     open_requests: int = 0
     deadly_part: str = ''
@@ -160,6 +162,7 @@
             status_code=status,
             headers=[
                 ('X-Instance-Id', self.name),
+                ('X-Server-Load', self.load),
                 *self._notice(),
                 ('Content-Length', '0'),
             ],
@@ -271,7 +274,7 @@
         request_id = fields['x-request-id']
         if fault is Fault.OTHER_ID:
             request_id = 'another'
-        headers = [('X-Server-Load', '1,0,8'), *self._notice()]
+        headers = [('X-Server-Load', self.load), *self._notice()]
         if fault is not Fault.UNNAMED_ANSWER_TWICE:
             headers.append(('X-Request-Id', request_id))
         if fault is not Fault.UNSIGNED:
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -95,7 +95,30 @@
     assert upstreams.read_answer(200, headers, 'r-1', 'i-7').is_encoded
 
 
-@pytest.mark.parametrize('text', [b'', b'1,2', b'a,b,c'])
+@pytest.mark.parametrize(
+    ('text', 'slowdown'),
+    [
+        (b'3,0,8,250', 2.5),
+        (b'3,0,8,100', 1),
+        (b'3,0,8,', None),
+        (b'3,0,8,x', None),
+        (b'3,0,8,nan', None),
+        (b'3,0,8,inf', None),
+        (b'3,0,8,-100', None),
+        (b'3,0,8,0', None),
+    ],
+)
+def test_a_bad_slowdown_costs_only_itself(text, slowdown):
+    """Guards against loads that are dropped because of a fourth figure."""
+    headers = ((b'x-server-load', text),)
+    load = upstreams.read_answer(200, headers, 'r', 'i-7').load
+    assert load == ReportedLoad(3, 0, 8, slowdown)
+
+
+@pytest.mark.parametrize(
+    'text',
+    [b'', b'1,2', b'a,b,c', b'a,0,8,100', b'3,0,8,100,1', b'3,0,8,100,'],
+)
 def test_a_malformed_load_is_ignored(text):
     headers = ((b'x-server-load', text),)
     assert upstreams.read_answer(200, headers, 'r', 'i-7').load is None
