--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -113,6 +113,8 @@
     tokens_ahead: float
     queue_s: float
     requests_ahead: int
+    service_s: float
+    slowdown: float
 
 
 @final
@@ -325,6 +327,8 @@
             self._loads.tokens_ahead(candidate.state, _ALL_PRIORITIES),
             timing.tokens_ahead,
             timing.queue_s,
+            timing.service_s,
+            timing.slowdown,
         )
 
     def _missing_cost(
@@ -370,10 +374,23 @@
                 service, tokens_ahead + uncached_tokens
             )
         wait_s = queue_s * self._first_events.wait_factor(service, priority)
-        expected_s = (serve_s + wait_s) * candidate.state.latency_ratio
+        ratio, slowdown = self._speed(candidate)
+        expected_s = (serve_s * slowdown + wait_s) * ratio
         if candidate.via is not None:
             expected_s += self._round_trip_s(candidate.via.region)
-        return _Timing(expected_s, tokens_ahead, queue_s, requests_ahead)
+        return _Timing(
+            expected_s,
+            tokens_ahead,
+            queue_s,
+            requests_ahead,
+            serve_s * ratio,
+            slowdown,
+        )
+
+    def _speed(self, candidate: Candidate) -> tuple[float, float]:
+        """Returns the long-run ratio of times and the one of this moment."""
+        state = candidate.state
+        return state.latency_ratio, state.slowdown.expected(self._now_s())
 
     def _queue_s(self, candidate: Candidate, requests_ahead: int) -> float:
         """Returns the wait for a slot in a queue without priorities."""
