Charge requests to the limits of their teams

Limits of teams were read but not enforced. A request of a team with a limit is charged once, before its first dispatch; it waits for tokens at most an eighth of its target and gets 429 with Retry-After then. Tokens of requests that no upstream ran are returned. Instances exchange tokens by POST /quota, one message for all teams with the same keeper, and only when a request needs some.

--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -20,6 +20,7 @@
 from masticstage.edges.gateway import Activity, Connections, Gateway, Views
 from masticstage.edges.gossip_state import GossipState
 from masticstage.edges.http_client import ConnectionPool
+from masticstage.edges.quota_state import build_quota_state
 from masticstage.edges.reload import SettingsFile
 from masticstage.entrysettings_schema import EntrySettings
 from masticstage.forwarding.budgets import BudgetBounds, RetryBudget
@@ -67,11 +68,12 @@
     upstream_pool = ConnectionPool(
         clock, _UPSTREAM_CONNECT_TIMEOUT_S, _UPSTREAM_IDLE_TIMEOUT_S
     )
+    views = _build_views(settings, clock, upstream_pool.has_idle)
     return Gateway(
         settings_file,
         clock,
         build_wire_format(region_of),
-        _build_views(settings, clock, upstream_pool.has_idle),
+        views,
         Connections(
             StoreClient(settings.store.address),
             upstream_pool,
@@ -89,6 +91,7 @@
         DecisionLog(clock, own.name),
         Metrics(),
         nursery,
+        build_quota_state(settings, clock, views.fleet),
     )
 
 
--- a/src/masticstage/edges/decision_log.py
+++ b/src/masticstage/edges/decision_log.py
@@ -7,6 +7,7 @@
 import json
 import os
 import sys
+import traceback
 from collections import Counter
 from typing import Any, Final, final
 
@@ -17,6 +18,14 @@
 #: Rate limit: 60 requests a second with about four lines each stay below it.
 _LINES_PER_S: Final = 400
 _STDOUT: Final = 1
+#: Parts of a formatted traceback that are logged, from its end.
+_LOGGED_TRACEBACK_PARTS: Final = 8
+
+
+def format_failure(error: Exception) -> str:
+    """Returns the end of an error's traceback."""
+    parts = traceback.format_exception(error)
+    return ''.join(parts[-_LOGGED_TRACEBACK_PARTS:])
 
 
 def write_line(line: bytes) -> bool:
--- a/src/masticstage/edges/endpoints.py
+++ b/src/masticstage/edges/endpoints.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 from http import HTTPStatus
+from itertools import islice
 from typing import Final
 
 from masticstage.edges.gateway import Gateway
@@ -16,6 +17,8 @@
 #: How long a draining instance may still be listed as running: the grace period
 #: of 8 s less the second for which callers use a list.
 _STILL_RUNNING: Final = timedelta(seconds=7)
+#: Teams whose limits have gauges of their own.
+_MAX_TEAMS: Final = 64
 _TEXT: Final = ((b'content-type', b'text/plain; version=0.0.4'),)
 
 
@@ -96,4 +99,14 @@
         set_gauge(
             f'repeats_left.{service}', views.retry_budget.remaining(service)
         )
+    _set_team_gauges(gateway)
     await reply.send_complete(HTTPStatus.OK, _TEXT, gateway.metrics.render())
+
+
+def _set_team_gauges(gateway: Gateway) -> None:
+    """Sets what this instance knows as the keeper of teams' limits."""
+    levels = gateway.quotas.keeper.levels()
+    for name, (level, asked, granted) in islice(levels.items(), _MAX_TEAMS):
+        gateway.metrics.set_gauge(f'team_level.{name}', level)
+        gateway.metrics.set_gauge(f'team_asked_per_s.{name}', asked)
+        gateway.metrics.set_gauge(f'team_granted_per_s.{name}', granted)
--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -3,7 +3,6 @@
 It is built once by the composition root and passed to every stage.
 """
 
-import traceback
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
 from datetime import timedelta
@@ -14,10 +13,11 @@
 
 from masticstage.clock import Clock, PauseDetector
 from masticstage.drain import Drain
-from masticstage.edges.decision_log import DecisionLog
+from masticstage.edges.decision_log import DecisionLog, format_failure
 from masticstage.edges.gossip_state import GossipState
 from masticstage.edges.http_client import ConnectionPool
 from masticstage.edges.pending_dispatches import PendingDispatches
+from masticstage.edges.quota_state import QuotaState
 from masticstage.edges.reload import SettingsFile
 from masticstage.entrysettings_schema import EntrySettings
 from masticstage.forwarding.budgets import RetryBudget
@@ -38,8 +38,6 @@
 
 AsyncFunction = Callable[..., Awaitable[object]]
 _DEFAULT_LIMITS: Final = CallerLimits()
-#: Parts of a formatted traceback that are logged, from its end.
-_LOGGED_TRACEBACK_PARTS: Final = 8
 
 
 class Store(Protocol):
@@ -130,6 +128,7 @@
     log: DecisionLog
     metrics: Metrics
     nursery: trio.Nursery
+    quotas: QuotaState
 
     @property
     def settings(self) -> EntrySettings:
@@ -205,9 +204,7 @@
             self.log.record(
                 'internal_error',
                 where=where,
-                error=''.join(
-                    traceback.format_exception(error)[-_LOGGED_TRACEBACK_PARTS:]
-                ),
+                error=format_failure(error),
             )
 
     def record_quarantined(
--- a/src/masticstage/edges/gossip.py
+++ b/src/masticstage/edges/gossip.py
@@ -211,7 +211,7 @@
     message: pb.FleetExchange,
 ) -> pb.FleetExchange | None:
     """Sends a message; returns the answer after applying it, if any."""
-    body = await _post(
+    body = await post_message(
         gateway,
         address,
         b'/exchange',
@@ -244,7 +244,7 @@
 
 async def fetch_records(gateway: Gateway, address: str, name: str) -> bool:
     """Fetches and applies what an instance knows besides; False if it fails."""
-    body = await _post(
+    body = await post_message(
         gateway,
         address,
         b'/news',
@@ -262,7 +262,7 @@
     return True
 
 
-async def _post(
+async def post_message(
     gateway: Gateway,
     address: str,
     target: bytes,
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -21,6 +21,7 @@
 from masticstage.edges.http_server import Reply, ServerConnection
 from masticstage.edges.listening import listen, serve_connections
 from masticstage.edges.peer_server import serve_peer
+from masticstage.edges.quotas import observe_members
 from masticstage.edges.records import (
     apply_due_removals,
     refresh_records,
@@ -140,6 +141,7 @@
         await _refresh_after_pause(gateway)
         start_due_checks(gateway)
         apply_due_removals(gateway)
+        observe_members(gateway)
         await _sleep_until_tick(gateway)
 
 
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -27,6 +27,7 @@
     decode_relay_route,
     encode_updates,
 )
+from masticstage.edges.quotas import QUOTA_PATH, answer_quota_request
 from masticstage.edges.streaming import IdlePolicy, forward_stream, is_reachable
 from masticstage.edges.team_keys import count_team, name_relayed_team
 from masticstage.exceptions import InvalidRequestError
@@ -87,6 +88,18 @@
     await reply.send_complete(HTTPStatus.OK, _PROTOBUF_HEADERS, encoded)
 
 
+async def _handle_quota_request(
+    gateway: Gateway,
+    raw: RawRequest,
+    reply: Reply,
+) -> None:
+    message = pb.QuotaRequest.FromString(raw.body)
+    answer = answer_quota_request(gateway, message)
+    await reply.send_complete(
+        HTTPStatus.OK, _PROTOBUF_HEADERS, answer.SerializeToString()
+    )
+
+
 async def _handle_relay(
     gateway: Gateway,
     raw: RawRequest,
@@ -298,6 +311,7 @@
     {
         b'/exchange': _handle_gossip,
         b'/news': _handle_updates_request,
+        QUOTA_PATH: _handle_quota_request,
         RELAY_PATH: _handle_relay,
     }
 )
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from masticstage.edges.charging import charge_team, give_back
 from masticstage.edges.dispatch import count_in_flight, dispatch
 from masticstage.edges.dispatch_outcome import DispatchOutcome, RoutedRequest
 from masticstage.edges.gateway import Gateway
@@ -98,6 +99,10 @@
     if isinstance(routed, Refusal):
         await send_refusal(gateway, reply, request.request_id, routed)
         return
+    too_much = await charge_team(gateway, routed)
+    if too_much is not None:
+        await send_refusal(gateway, reply, request.request_id, too_much)
+        return
     gateway.views.retry_budget.record_request(routed.service)
     allowance = min(request.allowance, routed.route.limit)
     context = _RequestContext(
@@ -112,6 +117,9 @@
     except trio.Cancelled:
         _record_end(context, 'caller_left', '')
         raise
+    finally:
+        if not context.history.may_have_run:
+            give_back(gateway, routed)
 
 
 async def _answer_before_stop(context: _RequestContext) -> None:
--- a/src/masticstage/entrysettings_schema.py
+++ b/src/masticstage/entrysettings_schema.py
@@ -46,7 +46,9 @@
 
     `reconnect_ms` is the time after a disturbance from which the other bounds
     hold again, `removal_ms` and `configuration_ms` are the times after which a
-    removed upstream gets no requests and a configuration is in force.
+    removed upstream gets no requests and a configuration is in force. In any
+    `team_window_s`, a team uses less than (rate x window + burst) x (1 +
+    `team_overage`) + `team_slack` tokens.
     """
 
     grace_s: float
@@ -56,6 +58,9 @@
     reconnect_ms: float = 5000
     removal_ms: float = 3000
     configuration_ms: float = 3000
+    team_window_s: float = 8
+    team_overage: float = 0.25
+    team_slack: float = 0
 
 
 @attrs.frozen
--- a/src/masticstage/explain.py
+++ b/src/masticstage/explain.py
@@ -109,6 +109,20 @@
     return f'refused with status {fields["status"]}{team}: {fields["reason"]}'
 
 
+def _describe_quota(fields: _Fields) -> str:
+    age_ms = fields['answer_age_ms']
+    known = (
+        'no keeper of the limit has answered yet'
+        if age_ms is None
+        else f'{fields["region_level"]} in its region {age_ms} ms before'
+    )
+    return (
+        f'team {fields["team"]} asked for {fields["tokens"]} tokens and had '
+        f'{fields["balance"]} here, {known}: expected in '
+        f'{fields["retry_after_ms"]} ms'
+    )
+
+
 def _describe_broken_stream(fields: _Fields) -> str:
     last = fields.get('last_event') or 'none'
     return (
@@ -171,6 +185,7 @@
         'dispatched': _describe_dispatch,
         'dispatch_ended': _describe_dispatch_end,
         'refused': _describe_refusal,
+        'quota_refused': _describe_quota,
         'retry_refused': _describe_retry,
         'upstream_leaving': _describe_leaving,
         'upstream_rest': _describe_rest,
--- a/src/masticstage/forwarding/quotas/keeper.py
+++ b/src/masticstage/forwarding/quotas/keeper.py
@@ -153,9 +153,7 @@
 
     def _serve_one(self, sender: str, ask: Ask) -> Grant:
         limit, now_s = self._limit_of(ask.team), self._now_s()
-        if limit is None:
-            return Grant(ask.team, ask.needed + ask.ahead)
-        if not self._may_lease(ask.team, now_s):
+        if limit is None or not self._may_lease(ask.team, now_s):
             return Grant(ask.team, 0, _LOAN_S, is_declined=True)
         share = self._share(ask.team, limit, now_s)
         account = self._advance(ask.team, share, now_s)
--- a/src/masticstage/forwarding/quotas/ranks.py
+++ b/src/masticstage/forwarding/quotas/ranks.py
@@ -107,6 +107,10 @@
         """Returns the instances in the order in which to ask them."""
         return self._orders[shard_of(team, self._shards)]
 
+    def shard(self, team: str) -> int:
+        """Returns the group of a team."""
+        return shard_of(team, self._shards)
+
     def tenure(self, team: str) -> Tenure:
         """Returns the part of this instance for a team."""
         return self._tenures[shard_of(team, self._shards)]
@@ -122,6 +126,6 @@
         return Tenure(
             (shard, self._shards),
             len(visible) / self._all_data_centres,
-            replaceable[0] == self._own,
+            replaceable[:1] == [self._own],
             self._own in order[:2] or self._own in replaceable[:2],
         )
--- a/src/masticstage/forwarding/requests.py
+++ b/src/masticstage/forwarding/requests.py
@@ -66,6 +66,8 @@
     the gateway sets itself. `allowance` is the time that the caller waits from
     `arrived`, which is on the monotonic clock. `key` is that of the caller's
     team, empty without one; until the team is known, the headers hold it too.
+    `counted_tokens` is what the request counts for a limit, None if it does not
+    state that.
     """
 
     request_id: str
@@ -80,6 +82,7 @@
     prompt: Prompt = NO_PROMPT
     last_event_id: str = ''
     key: str = attrs.field(default='', repr=False)
+    counted_tokens: int | None = None
 
     def fingerprint(self) -> str:
         """Returns a digest that is equal for a retry by the caller."""
--- a/src/masticstage/forwarding/teams.py
+++ b/src/masticstage/forwarding/teams.py
@@ -64,6 +64,11 @@
     _by_digest: dict[bytes, Team] = attrs.field(repr=False)
     _by_name: dict[str, Team] = attrs.field(repr=False)
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any team has a limit."""
+        return any(team.limit for team in self.teams)
+
     def find(self, key: str) -> Team | None:
         """Returns the team that has a key, None for an unknown key."""
         return self._by_digest.get(_digest(key))
--- a/src/masticstage/metrics.py
+++ b/src/masticstage/metrics.py
@@ -44,7 +44,7 @@
         """Adds to the counter of an event."""
         self._events.labels(event).inc(amount)
 
-    def count_named(self, event: str, name: str) -> None:
+    def count_named(self, event: str, name: str, amount: int = 1) -> None:
         """Adds to the counter of an event for a name, such as a team's.
 
         Only the first names have counters of their own; all others share one.
@@ -52,7 +52,7 @@
         if len(self._names) < _MAX_NAMES:
             self._names.add(name)
         label = name if name in self._names else _OTHER_NAMES
-        self.count(f'{event}.{label}')
+        self.count(f'{event}.{label}', amount)
 
     def set_gauge(self, name: str, amount: float) -> None:
         """Sets the gauge of a name, such as a count of open requests."""
--- a/src/masticstage/platform/callers.py
+++ b/src/masticstage/platform/callers.py
@@ -27,6 +27,9 @@
 _HEX_BASE: Final = 16
 #: Largest count of tokens that is believed.
 _MAX_TOKENS: Final = 1_000_000_000
+_MAX_DIGITS: Final = 20
+#: Counts of a request: tokens to read and to generate.
+_COUNTS: Final = 2
 
 
 def read_request(raw: RawRequest) -> CallerRequest:
@@ -53,6 +56,7 @@
         _read_prompt(fields),
         fields.get(names.LAST_EVENT_ID, b'').decode('latin-1'),
         read_key(raw.headers),
+        _read_total(fields.get(names.TOKEN_COUNTS, b'')),
     )
 
 
@@ -134,6 +138,20 @@
     return Prompt(tuple(parts), tokens_in, tokens_out)
 
 
+def _read_total(field: bytes) -> int | None:
+    """Returns the sum of the two counts of tokens, None if they are unusable.
+
+    Unlike for prompts, the parts need not be usable.
+    """
+    counts = [count.strip() for count in field.split(b',')]
+    if len(counts) != _COUNTS or not all(map(bytes.isdigit, counts)):
+        return None
+    if max(map(len, counts)) > _MAX_DIGITS:
+        return None
+    numbers = [int(count) for count in counts]
+    return None if max(numbers) > _MAX_TOKENS else sum(numbers)
+
+
 def _split_entries(field: bytes) -> list[tuple[bytes, bytes, bytes]]:
     """Returns the id, a colon and the tokens of each part."""
     entries = (entry.strip() for entry in field.split(b','))
--- a/tests/edges/deployment.py
+++ b/tests/edges/deployment.py
@@ -210,6 +210,23 @@
         nursery.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def deploy_two_instances(table: RouteTable | None = None):
+    """Runs two gateways of the same region.
+
+    Yields the instance named `own` with the one named `second`.
+    """
+    async with trio.open_nursery() as nursery:
+        replicas, records = await _start_replicas(nursery)
+        second = await _start_gateway(
+            nursery, records, table, 'north', 'second'
+        )
+        own = await _start_gateway(nursery, records, table, 'north')
+        own.views.members.merge([second.views.members.own])
+        yield Deployment(own, replicas), second
+        nursery.cancel_scope.cancel()
+
+
 async def _start_replicas(nursery, replica_count=2):
     replicas = {}
     records = []
@@ -223,8 +240,12 @@
     return replicas, records
 
 
-async def _start_gateway(nursery, records, table, region):
+async def _start_gateway(nursery, records, table, region, name=''):
     settings = build_entry_settings(*free_addresses(5), region=region)
+    if name:
+        own = attrs.evolve(settings.settings.instance, name=name)
+        named = attrs.evolve(settings.settings, instance=own)
+        settings = SettingsFile(Path('no-file.toml'), named)
     gateway = build_gateway(settings, SystemClock(), nursery)
     for record in records:
         gateway.views.fleet.apply(f'u/{record.name}', record)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -147,3 +147,27 @@
     named = keys.name_team(headers, 'red')
     assert named == ((b'x-model', b'm'), (b'x-tenant', b'red'))
     assert keys.name_team(headers, '') == ((b'x-model', b'm'),)
+
+
+@pytest.mark.parametrize(
+    ('counts', 'total'),
+    [
+        (b'1460,80', 1540),
+        (b' 1460 , 80 ', 1540),
+        (b'0,0', 0),
+        (b'1000000000,1', 1_000_000_001),
+        (b'1000000001,1', None),
+        (b'-1,80', None),
+        (b'1_0,80', None),
+        (b'x,80', None),
+        (b'80', None),
+        (b'1,2,3', None),
+        (b'', None),
+        (b'9' * 5000 + b',1', None),
+    ],
+)
+def test_a_request_counts_for_a_limit_what_its_header_states(counts, total):
+    """Also if its prompt parts are unusable."""
+    parts = (b'x-prompt-prefix', b'no-hex:1')
+    request = _read(*_HEADERS, (b'x-token-counts', counts), parts)
+    assert request.counted_tokens == total
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -72,3 +72,19 @@
     path.write_text(_line('1', 'answered', took_ms=12))
     run('r-1', str(path))
     assert 'answered completely after 12 ms' in capsys.readouterr().out
+
+
+def test_a_request_beyond_its_team_limit_is_explained():
+    fields = {
+        'team': 'red',
+        'tokens': 900,
+        'balance': 20,
+        'region_level': 10,
+        'answer_age_ms': 40,
+        'retry_after_ms': 300,
+    }
+    steps = steps_of('r-1', [_line('t', 'quota_refused', **fields)])
+    assert 'team red asked for 900 tokens and had 20 here' in (
+        steps[0].describe()
+    )
+    assert '10 in its region 40 ms before' in steps[0].describe()
