Refuse first the teams that ask for more than their share

Cause: under overload all teams were refused alike, so one team at eight times its usual made the requests of all teams late. Change: a keeper of limits tells with each grant how much a team's demand exceeds its weighted max-min share; the threshold of refusal follows it. It uses the demands that keepers meter already, instead of counters of its own.

--- a/src/masticstage/edges/quota_messages.py
+++ b/src/masticstage/edges/quota_messages.py
@@ -47,6 +47,7 @@
         wait_ms=round(grant.wait_s * _MS_PER_S),
         level=grant.level,
         is_declined=grant.is_declined,
+        excess=grant.excess,
     )
 
 
@@ -59,6 +60,7 @@
             grant.wait_ms / _MS_PER_S,
             grant.level,
             grant.is_declined,
+            _read_tokens(grant.excess) or 1,
         )
         for grant in message.grants
     ]
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -228,6 +228,7 @@
         routed.route,
         routed.fingerprint,
         context.remaining,
+        context.gateway.quotas.balances.excess(routed.team_name),
     )
     if predicted <= longest_wait_allowed:
         return False
--- a/src/masticstage/forwarding/quotas/balances.py
+++ b/src/masticstage/forwarding/quotas/balances.py
@@ -25,6 +25,8 @@
 _METER_PERIOD_S: Final = 2.0
 #: Weight of the newest request in the mean size.
 _SIZE_WEIGHT: Final = 0.2
+#: Age up to which the excess of a team is used. Shares change with the traffic.
+_EXCESS_AGE_S: Final = 2.0
 
 
 @enum.unique
@@ -66,6 +68,7 @@
     asked_at_s: float = float('-inf')
     answered_at_s: float = float('-inf')
     level: float = 0
+    excess: float = 1
     short_tokens: float = 0
     short_until_s: float = 0
     recheck_s: float = 0
@@ -131,6 +134,7 @@
         balance, now_s = self._current(grant.team), self._now_s()
         balance.answered_at_s = now_s
         balance.level = grant.level
+        balance.excess = grant.excess
         expires_s = asked_s + LEASE_S
         if expires_s > now_s:
             balance.tokens += grant.granted
@@ -163,6 +167,14 @@
                 balance.alone = TokenBucket(share.initial, now_s)
             balance.alone.advance(now_s, share)
 
+    def excess(self, team: str) -> float:
+        """Returns a team's demand as a multiple of its share, 1 if unknown."""
+        balance = self._balances.get(team)
+        if balance is None:
+            return 1
+        age_s = self._now_s() - balance.answered_at_s
+        return balance.excess if age_s <= _EXCESS_AGE_S else 1
+
     def explain(self, team: str) -> Answered:
         """Returns the state of a team, for the log."""
         balance = self._current(team)
--- a/src/masticstage/forwarding/quotas/keeper.py
+++ b/src/masticstage/forwarding/quotas/keeper.py
@@ -1,12 +1,13 @@
 """The instance that leases out a region's share of the limits of teams."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Final, final
 
 import attrs
 
 from masticstage.clock import Clock
 from masticstage.forwarding.quotas.buckets import RateMeter, TokenBucket
+from masticstage.forwarding.quotas.excesses import Demand, Excesses
 from masticstage.forwarding.quotas.messages import Ask, Grant
 from masticstage.forwarding.quotas.ranks import Tenure
 from masticstage.forwarding.quotas.shares import (
@@ -82,6 +83,7 @@
     _tenure_of: Callable[[str], Tenure]
     _accounts: dict[str, _Account] = attrs.field(factory=dict)
     _kept_since_s: dict[tuple[int, int], float] = attrs.field(factory=dict)
+    _excesses: Excesses = attrs.field(factory=Excesses)
     _started_s: float = attrs.field(init=False)
     _seen_s: float = attrs.field(init=False)
 
@@ -167,7 +169,17 @@
         account.granted.record(now_s, granted)
         _plan_loan(account, ask.needed - granted, share, now_s)
         wait_s = self._wait_for(limit, ask, granted, now_s)
-        return Grant(ask.team, granted, wait_s, account.bucket.level)
+        return Grant(
+            ask.team,
+            granted,
+            wait_s,
+            account.bucket.level,
+            excess=self._excesses.find(
+                ask.team,
+                now_s,
+                lambda: _read_demands(self._accounts, self._limit_of, now_s),
+            ),
+        )
 
     def _wait_for(
         self, limit: TeamLimit, ask: Ask, granted: float, now_s: float
@@ -315,3 +327,17 @@
         return
     target = max(0, missing) + expected * _BORROW_AHEAD_S
     account.wanted = max(0, target - account.bucket.level)
+
+
+def _read_demands(
+    accounts: Mapping[str, _Account],
+    limit_of: Callable[[str], TeamLimit | None],
+    now_s: float,
+) -> dict[str, Demand]:
+    """Returns what each limited team asks for, weighted by its limit."""
+    limits = {team: limit_of(team) for team in accounts}
+    return {
+        team: Demand(accounts[team].asked.rate(now_s), limit.rate)
+        for team, limit in limits.items()
+        if limit is not None
+    }
--- a/src/masticstage/forwarding/quotas/messages.py
+++ b/src/masticstage/forwarding/quotas/messages.py
@@ -9,8 +9,7 @@
 
     `needed` is for requests that wait, the smallest of which takes `least`.
     `ahead` is for requests that are expected, of a mean size of `least_ahead`.
-    `returned` is the rest of the
-    instance's earlier lease.
+    `returned` is the rest of the instance's earlier lease.
     """
 
     team: str
@@ -27,7 +26,8 @@
 
     `wait_s` is the time after which the tokens that are lacking are expected;
     `level` is what is left for the region. `is_declined` tells that the answer
-    is from an instance that keeps nothing for the team.
+    is from an instance that keeps nothing for the team. `excess` is the team's
+    demand in the region as a multiple of its share in an overload.
     """
 
     team: str
@@ -35,3 +35,4 @@
     wait_s: float = 0
     level: float = 0
     is_declined: bool = False
+    excess: float = 1
--- a/tests/patterns/test_hot_team.py
+++ b/tests/patterns/test_hot_team.py
@@ -14,11 +14,13 @@
 
 from masticstage.clock import ManualClock, milliseconds
 from masticstage.forwarding.overload import OverloadControl
-from masticstage.forwarding.team_shares import TeamShares
+from masticstage.forwarding.quotas.buckets import RateMeter
+from masticstage.forwarding.quotas.excesses import Demand, compute_excesses
 from tests.forwarding_builders import build_stream_route, build_table
 
 _TOKENS_PER_S = 3_000_000
 _REPORT_INTERVAL_S = 0.25
+_METER_PERIOD_S = 2.0
 _TOKENS = 17_000
 _USUAL_LOAD = 0.75
 _TEAMS = 16
@@ -52,8 +54,9 @@
 def _play(factors, *, uses_shares=True, seed=1):
     """Returns the counts by team; `factors` multiply the usual demand."""
     clock, random = ManualClock(), Random(seed)
-    overload, shares = OverloadControl(clock), TeamShares(clock)
-    weights = _weights()
+    overload, weights = OverloadControl(clock), _weights()
+    meters = {team: RateMeter(_METER_PERIOD_S) for team in weights}
+    excesses = {}
     demands = {
         team: weight * factors.get(team, 1) for team, weight in weights.items()
     }
@@ -63,7 +66,7 @@
     backlog_s: float = 0
     now_s: float = 0
     reported_at_s: float = 0
-    unreported = []
+    unreported = dict.fromkeys(weights, 0)
     while now_s < _SECONDS:
         step_s = random.expovariate(per_s)
         now_s += step_s
@@ -71,31 +74,32 @@
         backlog_s = max(0, backlog_s - step_s)
         team = random.choices(list(demands), list(demands.values()))[0]
         if now_s - reported_at_s > _REPORT_INTERVAL_S:
-            _report(shares, weights, unreported)
+            excesses = _report(meters, weights, unreported, now_s)
             reported_at_s = now_s
-        unreported.append([team, 0])
+        unreported[team] += _TOKENS
         longest = overload.longest_wait(
             _TABLE,
             _ROUTE,
             str(now_s),
             _ROUTE.limit,
-            shares.excess(team) if uses_shares else 1,
+            excesses.get(team, 1) if uses_shares else 1,
         )
         counts[team].total += 1
         if timedelta(seconds=backlog_s) > longest:
             counts[team].refused += 1
             continue
-        unreported[-1][1] = _TOKENS
         counts[team].on_time += backlog_s < _ROUTE.target.total_seconds()
         backlog_s += _TOKENS / _TOKENS_PER_S
     return counts
 
 
-def _report(shares, weights, unreported):
-    for team, dispatched in unreported:
-        shares.record_arrival(team, weights[team], _TOKENS)
-        shares.record_dispatch(team, dispatched)
-    unreported.clear()
+def _report(meters, weights, unreported, now_s):
+    demands = {}
+    for team, tokens in unreported.items():
+        meters[team].record(now_s, tokens)
+        demands[team] = Demand(meters[team].rate(now_s), weights[team])
+        unreported[team] = 0
+    return compute_excesses(demands)
 
 
 def _share_of(counts, teams):
