Sum up and name only what a message has to say

Each message between instances summed the loads of all upstreams, also those without any, and hashed the names of all. Counters of events and the encoder of the log are kept instead of being looked up and created for each use.

Composing a message with 37 upstreams, processor time, minimum of 200 batches of 24: 80 to 39 us; applying one: 38 us before and after. A log line of 15 fields took 12.1 us, its encoding 4.8 us, now 3.8 us.

--- a/src/masticstage/clock.py
+++ b/src/masticstage/clock.py
@@ -30,7 +30,8 @@
 
         Unlike `CLOCK_MONOTONIC` it includes the time of system suspensions.
         """
-        return timedelta(seconds=clock_gettime(CLOCK_BOOTTIME))
+        # Positional arguments take two thirds of the time.
+        return timedelta(0, clock_gettime(CLOCK_BOOTTIME))
 
 
 @final
--- a/src/masticstage/edges/decision_log.py
+++ b/src/masticstage/edges/decision_log.py
@@ -17,6 +17,7 @@
 #: Rate limit: 60 requests a second with about four lines each stay below it.
 _LINES_PER_S: Final = 400
 _STDOUT: Final = 1
+_ENCODER: Final = json.JSONEncoder(separators=(',', ':'), default=str)
 
 
 def write_line(line: bytes) -> bool:
@@ -75,6 +76,6 @@
         if request_id:
             fields['request'] = request_id
         fields.update(inputs)
-        line = json.dumps(fields, separators=(',', ':'), default=str)
+        line = _ENCODER.encode(fields)
         if not write_line(f'{line}\n'.encode()):
             self._dropped[event] += 1
--- a/src/masticstage/edges/exchange.py
+++ b/src/masticstage/edges/exchange.py
@@ -81,7 +81,8 @@
         decode_member(record) for record in message.members
     ):
         log_liveness(gateway, member)
-    names = {hash_name(name): name for name in views.loads.upstream_names()}
+    upstreams = views.loads.upstream_names()
+    names = dict(zip(map(hash_name, upstreams), upstreams, strict=True))
     for report in views.prefix_reports.learn(
         decode_prefixes(message.prefixes, names)
     ):
--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from datetime import timedelta
+from functools import lru_cache
 from typing import Final
 
 import xxhash
@@ -29,6 +30,8 @@
 _HEX_BASE: Final = 16
 _MAX_UINT32: Final = 0xFFFFFFFF
 _MAX_ID: Final = 0xFFFFFFFFFFFFFFFF
+#: Names whose hashes are kept, since each message names all upstreams in use.
+_MAX_HASHED_NAMES: Final = 8192
 
 
 def encode_load(load: SharedLoad) -> pb.SharedLoad:
@@ -101,6 +104,7 @@
     )
 
 
+@lru_cache(maxsize=_MAX_HASHED_NAMES)
 def hash_name(upstream: str) -> int:
     """Returns the hash by which an upstream is named in packed loads."""
     return xxhash.xxh32_intdigest(upstream.encode())
@@ -108,7 +112,10 @@
 
 def _to_uint32(count: float) -> int:
     """Returns the nearest number that fits; others would fail to encode."""
-    return min(max(round(count), 0), _MAX_UINT32)
+    number = round(count)
+    if 0 <= number <= _MAX_UINT32:
+        return number
+    return 0 if number < 0 else _MAX_UINT32
 
 
 def _rows(tokens: Sequence[int], width: int, count: int) -> list[Sequence[int]]:
--- a/src/masticstage/forwarding/health.py
+++ b/src/masticstage/forwarding/health.py
@@ -51,6 +51,11 @@
     _counted_at_s: float = 0
     _check_pause_s: float = _FIRST_CHECK_PAUSE_S
 
+    @property
+    def has_failures(self) -> bool:
+        """Whether any failure was counted, however long ago."""
+        return self._outcomes.failed > 0
+
     def outcomes(self, now_s: float) -> Outcomes:
         """Returns the counts of own outcomes, decayed to the given time."""
         if not self._outcomes.total:
--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -212,7 +212,9 @@
     def own_loads(self) -> tuple[SharedLoad, ...]:
         """Returns the loads of this instance, for peers of its region."""
         own = [
-            self._own_load(name, state) for name, state in self._states.items()
+            self._own_load(name, state)
+            for name, state in self._states.items()
+            if _may_report(state)
         ]
         return tuple(load for load in own if _should_report(load))
 
@@ -225,6 +227,7 @@
         totals = [
             self._region_load(name, state)
             for name, state in self._states.items()
+            if _may_report(state)
         ]
         return tuple(load for load in totals if _should_report(load))
 
@@ -301,6 +304,13 @@
         return self._clock.elapsed().total_seconds()
 
 
+def _may_report(state: UpstreamState) -> bool:
+    """Returns False if a load need not be summed up, as there is none."""
+    return bool(
+        state.direct.in_flight or state.peer_loads or state.health.has_failures
+    )
+
+
 def _should_report(load: SharedLoad) -> bool:
     is_failing = load.outcomes.failed > _MIN_REPORTED_FAILURES
     return bool(load.in_flight) or is_failing
--- a/src/masticstage/metrics.py
+++ b/src/masticstage/metrics.py
@@ -28,6 +28,7 @@
         self._registry = CollectorRegistry()
         self._histograms: dict[str, HdrHistogram] = {}
         self._gauges: dict[str, float] = {}
+        self._counters: dict[str, Counter] = {}
         self._events = Counter(
             'masticstage_events',
             'Events by name.',
@@ -38,7 +39,11 @@
 
     def count(self, event: str, amount: int = 1) -> None:
         """Adds to the counter of an event."""
-        self._events.labels(event).inc(amount)
+        counter = self._counters.get(event)
+        if counter is None:
+            counter = self._events.labels(event)
+            self._counters[event] = counter
+        counter.inc(amount)
 
     def set_gauge(self, name: str, amount: float) -> None:
         """Sets the gauge of a name, such as a count of open requests."""
