Fetch missing records from near instances first

An instance that heard of later records from another region fetched them from there at once, as all others of its region did.

--- a/src/masticstage/edges/gossip.py
+++ b/src/masticstage/edges/gossip.py
@@ -24,6 +24,7 @@
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.http_client import OutgoingRequest
 from masticstage.edges.messages import decode_updates
+from masticstage.edges.near_records import wait_for_near_peers
 from masticstage.edges.records import apply_updates
 from masticstage.edges.timers import sleep_until_next
 from masticstage.exceptions import BrokenConnectionError, ConnectError
@@ -231,8 +232,15 @@
     address: str,
     answer: pb.FleetExchange,
 ) -> None:
-    """Fetches records if the other instance has a later revision."""
+    """Fetches records if the other instance has a later revision.
+
+    If it is in another region, near instances get the chance to be first.
+    """
     state = gateway.gossip
+    if answer.published_revision <= gateway.views.records.revision:
+        return
+    if not await wait_for_near_peers(gateway, answer.sender.name):
+        return
     own_revision = gateway.views.records.revision
     if answer.published_revision <= own_revision or state.is_fetching:
         return
--- a/src/masticstage/edges/gossip_state.py
+++ b/src/masticstage/edges/gossip_state.py
@@ -34,6 +34,7 @@
     misses: dict[str, int] = attrs.field(factory=dict)
     round_number: int = 0
     is_fetching: bool = False
+    is_waiting_for_near: bool = False
     datagrams: DatagramSocket | None = None
     _loads: dict[bool, _RecentLoads] = attrs.field(factory=dict)
 
