Look for quarantined causes only if there is evidence

Each request asked two to three times whether one of its possible causes of crashes is quarantined, which read the clock and hashed the causes also while no upstream had crashed.

--- a/src/masticstage/forwarding/crash_causes.py
+++ b/src/masticstage/forwarding/crash_causes.py
@@ -272,6 +272,8 @@
         return now_s - evidence.last_crash_s < _LIFETIME_S
 
     def _quarantined_among(self, causes: Iterable[Cause]) -> list[Cause]:
+        if not self._evidence:
+            return []
         now_s = self._now_s()
         return [
             cause
