--- a/src/masticstage/edges/gossip_state.py
+++ b/src/masticstage/edges/gossip_state.py
@@ -51,6 +51,7 @@
     peer_revisions: dict[str, int] = attrs.field(factory=dict)
     round_number: int = 0
     is_fetching: bool = False
+    is_waiting_for_near: bool = False
     datagrams: DatagramSocket | None = None
     catch_up: CatchUpState = attrs.field(factory=CatchUpState)
     _loads: dict[bool, _RecentLoads] = attrs.field(factory=dict)
--- a/src/masticstage/metrics.py
+++ b/src/masticstage/metrics.py
@@ -32,6 +32,7 @@
         self._histograms: dict[str, HdrHistogram] = {}
         self._gauges: dict[str, float] = {}
         self._names: set[str] = set()
+        self._counters: dict[str, Counter] = {}
         self._events = Counter(
             'masticstage_events',
             'Events by name.',
@@ -42,7 +43,11 @@
 
     def count(self, event: str, amount: int = 1) -> None:
         """Adds to the counter of an event."""
-        self._events.labels(event).inc(amount)
+        counter = self._counters.get(event)
+        if counter is None:
+            counter = self._events.labels(event)
+            self._counters[event] = counter
+        counter.inc(amount)
 
     def count_named(self, event: str, name: str, amount: int = 1) -> None:
         """Adds to the counter of an event for a name, such as a team's.
