Pace upstreams that have just started or recovered

All instances saw a new or recovered upstream idle at the same moment, since counts of requests in flight arrive about once a second. It got far more than its slots at once and was then avoided. Only cold ones had a limit.

A limit on the requests in flight there starts at a quarter of the slots (half after a recovery), grows by each answer in time that any instance got, and is lowered by late answers, failures and refusals. Each instance has a share of it by rendezvous hashing. It ends at twice the slots or after 10 s. The published rate of cold upstreams is unchanged; the pace begins after it. An upstream at its limit is left out unless no direct candidate would be left. Failures from before a recovery are forgotten.

--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -29,6 +29,7 @@
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.overload import OverloadControl
+from masticstage.forwarding.pacer import Pacer
 from masticstage.forwarding.prefix_reports import PrefixReports
 from masticstage.forwarding.record_cache import RecordCache
 from masticstage.forwarding.sampling import CandidateSampler
@@ -123,7 +124,13 @@
         OutageTracker(clock, milliseconds(settings.bounds.reconnect_ms)),
         members,
         loads,
-        Chooser(clock, CandidateSampler(random, is_connected), finder, loads),
+        Chooser(
+            clock,
+            CandidateSampler(random, is_connected),
+            finder,
+            loads,
+            Pacer(clock, loads, members),
+        ),
         CrashCauses(clock, random),
         RetryBudget(clock, bounds, 2 * len(settings.places)),
         OverloadControl(clock),
--- a/src/masticstage/edges/dispatch_log.py
+++ b/src/masticstage/edges/dispatch_log.py
@@ -65,6 +65,10 @@
         # The peer chose another upstream. Its region reports the load on that.
         return
     is_relayed = choice.candidate.via is not None
+    if not is_relayed:
+        gateway.views.chooser.pacer.record_outcome(
+            choice, routed.route, outcome.evidence, took_s
+        )
     if outcome.evidence is Evidence.ANSWERED:
         if outcome.connection is None:
             gateway.record_answer(routed.causes)
--- a/src/masticstage/edges/endpoints.py
+++ b/src/masticstage/edges/endpoints.py
@@ -88,6 +88,7 @@
     set_gauge('published_revision', views.records.revision)
     set_gauge('configuration_version', table.version if table else 0)
     set_gauge('platform_in_trouble', views.outage.is_ongoing)
+    set_gauge('paced_upstreams', views.chooser.pacer.count)
     set_gauge('live_instances', gateway.live_count())
     set_gauge(
         'upstream_connections_opened', gateway.connections.upstreams.opened
--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -173,6 +173,7 @@
     if failure is not None:
         state.health.suspect(gateway.elapsed_s())
     elif state.health.clear_suspicion():
+        upstream.mark_recovered()
         gateway.log.record('upstream_recovered', upstream=record.name)
 
 
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -20,6 +20,7 @@
 from masticstage.edges.health_checks import start_due_checks
 from masticstage.edges.http_server import Reply, ServerConnection
 from masticstage.edges.listening import listen, serve_connections
+from masticstage.edges.pacing import log_pace_changes
 from masticstage.edges.peer_server import serve_peer
 from masticstage.edges.records import (
     apply_due_removals,
@@ -139,6 +140,7 @@
     while True:
         await _refresh_after_pause(gateway)
         start_due_checks(gateway)
+        log_pace_changes(gateway)
         apply_due_removals(gateway)
         await _sleep_until_tick(gateway)
 
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -21,6 +21,7 @@
 from masticstage.forwarding.first_events import FirstEventTimes
 from masticstage.forwarding.hits import PrefixHitRates
 from masticstage.forwarding.loads import LoadTable
+from masticstage.forwarding.pacer import Pacer
 from masticstage.forwarding.prefix_homes import (
     can_copy,
     find_prefix_source,
@@ -119,13 +120,15 @@
 class Chooser:
     """Chooses the candidate with the lowest predicted cost.
 
-    The prediction uses moving averages of observed delays.
+    The prediction uses moving averages of observed delays. `pacer` leaves out
+    upstreams that have just started and get enough requests.
     """
 
     _clock: Clock
     _sampler: CandidateSampler
     _finder: CandidateFinder
     _loads: LoadTable
+    pacer: Pacer
     _hit_rates: PrefixHitRates = attrs.field(factory=PrefixHitRates)
     _round_trips_s: dict[str, float] = attrs.field(factory=dict)
     _calls_s: dict[str, float] = attrs.field(factory=dict)
@@ -262,7 +265,9 @@
             for allowed_candidate in allowed
             if allowed_candidate.name not in tried
         ]
-        sampled = self._sampler.draw(untried, request.prompt, source)
+        sampled = self._sampler.draw(
+            self.pacer.drop_at_limit(untried), request.prompt, source
+        )
         comparison = _Comparison(source, self._typical_failure_rate(sampled))
         return [
             self._predict(candidate, request, route, comparison)
--- a/src/masticstage/forwarding/health.py
+++ b/src/masticstage/forwarding/health.py
@@ -37,6 +37,12 @@
         return self.failed / (self.total + _ASSUMED_SUCCESSES)
 
 
+def decay_outcomes(outcomes: Outcomes, seconds: float) -> Outcomes:
+    """Returns the counts with the weight that they have after a time."""
+    decay = 2 ** (-seconds / _HALF_LIFE_S)
+    return Outcomes(outcomes.failed * decay, outcomes.total * decay)
+
+
 @final
 @attrs.define
 class Health:
@@ -53,11 +59,7 @@
 
     def outcomes(self, now_s: float) -> Outcomes:
         """Returns the counts of own outcomes, decayed to the given time."""
-        decay = 2 ** ((self._counted_at_s - now_s) / _HALF_LIFE_S)
-        return Outcomes(
-            self._outcomes.failed * decay,
-            self._outcomes.total * decay,
-        )
+        return decay_outcomes(self._outcomes, now_s - self._counted_at_s)
 
     def record_outcome(self, now_s: float, *, is_failure: bool) -> None:
         """Counts the outcome of a dispatch."""
@@ -80,8 +82,14 @@
         return is_new
 
     def clear_suspicion(self) -> bool:
-        """Ends the exclusion; returns True if it was suspected before."""
+        """Ends the exclusion; returns True if it was suspected before.
+
+        The failures before that are forgotten. They kept a recovered upstream
+        idle for five seconds and more; its pace limits what can fail again.
+        """
         was_suspected = self.is_suspected
+        if was_suspected:
+            self._outcomes = Outcomes()
         self.is_suspected = False
         self._check_pause_s = _FIRST_CHECK_PAUSE_S
         return was_suspected
--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -190,6 +190,10 @@
         own = state.health.outcomes(now_s).plus(relayed)
         return own.plus(self._others_load(state).outcomes)
 
+    def others_outcomes(self, state: UpstreamState) -> Outcomes:
+        """Returns the recent outcomes that others reported."""
+        return self._others_load(state).outcomes
+
     def record_report(self, state: UpstreamState, load: ReportedLoad) -> None:
         """Stores the load that an upstream reported with an answer."""
         state.reported = load
@@ -283,7 +287,8 @@
 
     def _region_load(self, name: str, state: UpstreamState) -> SharedLoad:
         peers = [
-            report.load for report in self._unexpired(state.peer_loads.values())
+            report.load
+            for report in _unexpired(state.peer_loads.values(), self._now_s())
         ]
         return _sum_loads(name, [self._own_load(name, state), *peers])
 
@@ -292,7 +297,7 @@
         now_s = self._now_s()
         if state.others_load is None or now_s >= state.others_expire_at_s:
             region = [state.region_load] if state.region_load else []
-            unexpired = self._unexpired([*state.peer_loads.values(), *region])
+            unexpired = _unexpired([*state.peer_loads.values(), *region], now_s)
             state.others_load = _sum_loads(
                 '', [report.load for report in unexpired]
             )
@@ -302,14 +307,14 @@
             )
         return state.others_load
 
-    def _unexpired(self, reports: Iterable[_PeerLoad]) -> list[_PeerLoad]:
-        now_s = self._now_s()
-        return [report for report in reports if report.expires_at_s > now_s]
-
     def _now_s(self) -> float:
         return self._clock.elapsed().total_seconds()
 
 
+def _unexpired(reports: Iterable[_PeerLoad], now_s: float) -> list[_PeerLoad]:
+    return [report for report in reports if report.expires_at_s > now_s]
+
+
 def _should_report(load: SharedLoad) -> bool:
     is_failing = load.outcomes.failed > _MIN_REPORTED_FAILURES
     return bool(load.in_flight) or is_failing
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from masticstage.clock import Clock
+from masticstage.clock import Clock, to_milliseconds
 from masticstage.forwarding.published import (
     Evacuation,
     Published,
@@ -18,14 +18,27 @@
 
 #: Time after which a leaving upstream gets nothing, unless settings name one.
 _REMOVAL_TIME: Final = timedelta(seconds=3)
+#: Age up to which an upstream has just started, on the clocks of two machines.
+_NEW_FOR_MS: Final = 10_000
 
 
 @attrs.define
 class KnownUpstream:
-    """The record of an upstream, and the time at which its warm-up ends."""
+    """The record of an upstream, and the time at which its warm-up ends.
+
+    `awaits_pace` is set for an upstream that has started, is cold or has
+    recovered, until its pace begins.
+    """
 
     record: UpstreamRecord
     cold_until: timedelta
+    awaits_pace: bool = False
+    has_recovered: bool = False
+
+    def mark_recovered(self) -> None:
+        """Makes a pace begin after the upstream was suspected."""
+        self.awaits_pace = True
+        self.has_recovered = True
 
 
 @final
@@ -173,6 +186,7 @@
         for upstream in self._upstreams.values():
             if upstream.record.name == name:
                 upstream.cold_until = until
+                upstream.awaits_pace = True
 
     def _usable(self) -> Iterator[KnownUpstream]:
         evacuated = self.evacuated
@@ -194,6 +208,26 @@
 
     def _apply_upstream(self, key: str, record: UpstreamRecord) -> str:
         until = self._clock.elapsed() + record.cold_for
-        self._upstreams[key] = KnownUpstream(record, until)
+        now_ms = to_milliseconds(self._clock.now())
+        self._upstreams[key] = KnownUpstream(
+            record,
+            until,
+            _awaits_pace(self._upstreams.get(key), record, now_ms),
+        )
         state = 'leaving' if record.is_leaving else 'ready'
         return f'upstream {record.name} {state}'
+
+
+def _awaits_pace(
+    known: KnownUpstream | None, record: UpstreamRecord, now_ms: int
+) -> bool:
+    """Returns whether an upstream is cold or has just started.
+
+    An upstream may be new to this instance only, if that has started itself.
+    """
+    started_at_ms = record.started_at_ms
+    if record.cold_for:
+        return True
+    if known is not None and known.record.started_at_ms == started_at_ms:
+        return known.awaits_pace
+    return abs(now_ms - started_at_ms) < _NEW_FOR_MS
--- /dev/null
+++ b/tests/forwarding/test_pacer.py
@@ -0,0 +1,123 @@
+"""Tests of which upstreams are paced."""
+
+import pytest
+
+from masticstage.forwarding.evidence import Evidence
+from tests.forwarding_builders import (
+    SECOND,
+    build_member,
+    build_record,
+    build_request,
+    build_route,
+    build_simulated_instance,
+    build_stream_route,
+)
+
+_NOW_MS = 100_000
+
+
+def _build_instance(*records):
+    instance = build_simulated_instance()
+    for record in records:
+        instance.add_upstream(record)
+    return instance
+
+
+def _choose(instance, tried=()):
+    return instance.chooser.choose(
+        build_request(), build_route(), 'shop', tried
+    )
+
+
+def _paced(instance):
+    _choose(instance)
+    return instance.chooser.pacer.count
+
+
+@pytest.mark.parametrize(
+    ('started_at_ms', 'count'),
+    [(_NOW_MS, 1), (_NOW_MS + 2000, 1), (_NOW_MS - 60_000, 0), (0, 0)],
+)
+def test_only_an_upstream_that_has_just_started_is_paced(started_at_ms, count):
+    """Guards against paces of all upstreams after a start of this instance."""
+    record = build_record(started_at_ms=started_at_ms)
+    assert _paced(_build_instance(record)) == count
+
+
+def test_a_restarted_upstream_is_paced_once():
+    instance = _build_instance(build_record(started_at_ms=1))
+    assert not _paced(instance)
+    restarted = build_record(started_at_ms=_NOW_MS)
+    instance.add_upstream(restarted)
+    assert _paced(instance) == 1
+    instance.advance(11)
+    assert len(instance.chooser.pacer.take_changes()) == 2
+    instance.add_upstream(restarted)
+    assert not _paced(instance)
+
+
+def test_a_pace_begins_when_a_published_warm_up_has_ended():
+    """Guards against a second limit below the published one."""
+    instance = _build_instance(build_record(service='model', cold_for=SECOND))
+    for _ in range(2):
+        instance.chooser.choose(build_request(), build_stream_route(), 'model')
+        assert not instance.chooser.pacer.count
+    instance.advance(1.1)
+    instance.chooser.choose(build_request(), build_stream_route(), 'model')
+    assert instance.chooser.pacer.count == 1
+
+
+def test_an_upstream_at_its_limit_is_left_out():
+    new = build_record('new', started_at_ms=_NOW_MS)
+    instance = _build_instance(new, build_record('old'))
+    instance.loads.state('old').direct.in_flight = 20
+    assert _choose(instance).upstream == 'new'
+    instance.loads.state('new').direct.in_flight = 2
+    assert _choose(instance).upstream == 'old'
+    assert _choose(instance, ('old',)).upstream == 'new'
+
+
+def test_no_request_leaves_its_region_because_of_a_limit():
+    instance = build_simulated_instance(build_member('peer', 'south'))
+    instance.add_upstream(build_record('new', started_at_ms=_NOW_MS))
+    instance.add_upstream(
+        build_record('far', data_centre='south-a', region='south')
+    )
+    _choose(instance)
+    instance.loads.state('new').direct.in_flight = 2
+    assert _choose(instance).upstream == 'new'
+
+
+@pytest.mark.parametrize(
+    ('evidence', 'took_s', 'limit'),
+    [
+        (Evidence.ANSWERED, 0.1, 3),
+        (Evidence.ANSWERED, 2, 1.4),
+        (Evidence.NOT_RUN, 0.1, 1),
+        (Evidence.MAY_HAVE_RUN, 0.1, 1),
+        (Evidence.FAILED, 0.1, 2),
+    ],
+)
+def test_outcomes_change_the_limit(evidence, took_s, limit):
+    instance = _build_instance(build_record(started_at_ms=_NOW_MS))
+    choice, pacer = _choose(instance), instance.chooser.pacer
+    pacer.record_outcome(choice, build_route(), evidence, took_s)
+    instance.advance(11)
+    started, ended = pacer.take_changes()
+    assert (started.limit, started.has_ended) == (2, False)
+    assert (ended.limit, ended.has_ended) == (pytest.approx(limit), True)
+
+
+def test_an_instance_without_a_share_uses_an_idle_upstream_in_the_end():
+    """Guards against an upstream that only an idle instance may use."""
+    peers = [build_member(f'peer-{number}') for number in range(9)]
+    sent = set()
+    for number in range(10):
+        instance = build_simulated_instance(*peers, name=f'own-{number}')
+        instance.add_upstream(build_record('new', started_at_ms=_NOW_MS))
+        instance.add_upstream(build_record('old'))
+        instance.loads.state('old').direct.in_flight = 20
+        _choose(instance)
+        instance.advance(1.6)
+        sent.add(_choose(instance).upstream)
+    assert sent == {'new'}
--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -10,6 +10,7 @@
 from masticstage.forwarding.candidate_finder import CandidateFinder
 from masticstage.forwarding.choice import Chooser
 from masticstage.forwarding.loads import LoadTable
+from masticstage.forwarding.pacer import Pacer
 from masticstage.forwarding.prefix_reports import PrefixReports
 from masticstage.forwarding.published import UpstreamRecord
 from masticstage.forwarding.requests import (
@@ -141,17 +142,20 @@
         self.clock.advance(timedelta(seconds=seconds))
 
 
-def build_simulated_instance(*peers: Member) -> SimulatedInstance:
+def build_simulated_instance(
+    *peers: Member, name: str = 'own'
+) -> SimulatedInstance:
     """Returns an instance in the north with the given peers."""
     clock = ManualClock()
     clock.advance(timedelta(seconds=100))
     view = FleetView(clock)
     loads = LoadTable(clock)
-    members = MemberTable(clock, build_member('own'), timedelta(seconds=5))
+    members = MemberTable(clock, build_member(name), timedelta(seconds=5))
     members.merge(peers)
     view.apply('c', build_table())
     random = Random(1)
     finder = CandidateFinder(clock, random, view, loads, members)
-    chooser = Chooser(clock, CandidateSampler(random), finder, loads)
+    pacer = Pacer(clock, loads, members)
+    chooser = Chooser(clock, CandidateSampler(random), finder, loads, pacer)
     reports = PrefixReports(clock)
     return SimulatedInstance(clock, view, loads, members, chooser, reports)
