Let the stand-in store be restored from an older copy

Cause: the store of the platform loses writes in a drill, which no stand-in did. Change: Store.roll_back drops the last writes, issues their revisions again and names its era in all answers; a watch of a revision that it lacks gets 410. It sends no header before the first restore. The route /control/mode takes lost_writes and answers with what was lost.

--- a/standins/store.py
+++ b/standins/store.py
@@ -1,8 +1,8 @@
 """Stand-in for the users' platform: a key-value store with watches.
 
 It implements the part of the protocol that the gateway uses. The routes below
-`/control` are for tests: they write or delete records, drop the history and
-make the store unavailable.
+`/control` are for tests: they write or delete records, drop the history, make
+the store unavailable and restore it from an older copy.
 """
 
 import base64
@@ -27,7 +27,8 @@
 class Store:
     """The records, their history, and the faults of the store.
 
-    `history` has the events after `compacted_revision`.
+    `history` has the events after `compacted_revision`, `writes` all that
+    a restored copy may consist of. `era` counts the restores.
     """
 
     revision: int = 0
@@ -36,6 +37,8 @@
     compacted_revision: int = 0
     is_down: bool = False
     calls: int = 0
+    era: int = 0
+    writes: list[dict[str, Any]] = attrs.field(factory=list)
     changed: trio.Event = attrs.field(factory=trio.Event)
 
     def put(self, key: str, document: object) -> None:
@@ -58,6 +61,33 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def roll_back(self, lost_writes: int) -> list[dict[str, Any]]:
+        """Restores a copy without the last writes.
+
+        Returns the records that existed before and differ from the copy.
+        """
+        former = self.records
+        self.revision = max(0, self.revision - lost_writes)
+        self.writes = self.writes[: self.revision]
+        self.records = {}
+        for event in self.writes:
+            self.records.pop(event['Key'], None)
+            if not event.get('Deleted'):
+                self.records[event['Key']] = event
+        self.history = [
+            event
+            for event in self.history
+            if event['Revision'] <= self.revision
+        ]
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.era += 1
+        self._wake_watches()
+        return [
+            record
+            for key, record in former.items()
+            if self.records.get(key) != record
+        ]
+
     def events_after(self, revision: int, prefix: str) -> list[dict[str, Any]]:
         """Returns the events after a revision, of keys with a prefix."""
         return [
@@ -66,8 +96,26 @@
             if event['Revision'] > revision and event['Key'].startswith(prefix)
         ]
 
+    def era_headers(self) -> dict[str, str]:
+        """Returns the headers of all answers, none before the first restore."""
+        return {'Store-Era': str(self.era)} if self.era else {}
+
+    async def wait_for_events(
+        self, revision: int, prefix: str, wait_s: float
+    ) -> bool:
+        """Waits for events; returns False if the store is rolled back."""
+        era = self.era
+        with trio.move_on_after(wait_s):
+            while era == self.era and not self.events_after(revision, prefix):
+                await self.changed.wait()
+        return era == self.era
+
     def _append_event(self, event: dict[str, Any]) -> None:
         self.history.append(event)
+        self.writes.append(event)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self.changed.set()
         self.changed = trio.Event()
 
@@ -83,6 +131,11 @@
         store.calls += 1
         return None
 
+    @app.after_request
+    async def add_era(response: Response) -> Response:
+        response.headers.update(store.era_headers())
+        return response
+
     @app.get('/-/kv-range')
     async def read_range() -> Response:
         prefix = request.args['PathPrefix']
@@ -104,11 +157,11 @@
     async def watch() -> Response:
         prefix = request.args['PathPrefix']
         after = int(request.args['after'])
-        if after < store.compacted_revision:
+        if not store.compacted_revision <= after <= store.revision:
+            return _answer({}, HTTPStatus.GONE)
+        wait_s = int(request.args['WaitMs']) / _MS_PER_S
+        if not await store.wait_for_events(after, prefix, wait_s):
             return _answer({}, HTTPStatus.GONE)
-        with trio.move_on_after(int(request.args['WaitMs']) / _MS_PER_S):
-            while not store.events_after(after, prefix):
-                await store.changed.wait()
         return _answer(
             {
                 'events': store.events_after(after, prefix),
@@ -130,7 +183,9 @@
             store.compact()
         for key in fields.get('delete', ()):
             store.delete(key)
-        return _answer({'calls': store.calls})
+        lost_writes = int(fields.get('lost_writes', 0))
+        lost = store.roll_back(lost_writes) if lost_writes else []
+        return _answer({'calls': store.calls, 'lost': lost})
 
     return app
 
