Order records by era and revision in cache, store client and gossip

Cause: records merge by the greatest revision, so nothing is learnt from a store that was restored from a copy until it has issued the lost revisions again. The store client reads Store-Era (0 if missing or malformed), peers exchange it in FleetExchange.published_era and PublishedNews.era.

--- a/src/masticstage/edges/exchange.py
+++ b/src/masticstage/edges/exchange.py
@@ -51,6 +51,7 @@
         sender=pb.Incarnation(name=own.name, number=own.incarnation),
         members=[encode_member(member) for member in members],
         published_revision=views.records.revision,
+        published_era=views.records.era,
         summed_region='' if is_own_region else gateway.region,
         crash_causes=map(encode_cause, views.crash_causes.reports()),
     )
--- a/src/masticstage/edges/gossip.py
+++ b/src/masticstage/edges/gossip.py
@@ -147,7 +147,7 @@
     else:
         apply_message(gateway, message)
         _record_datagram_answer(gateway, message)
-    if message.published_revision > gateway.views.records.revision:
+    if _is_ahead(gateway, message):
         peer = gateway.views.members.find(message.sender.name)
         if peer is not None:
             gateway.spawn(
@@ -230,18 +230,18 @@
     address: str,
     answer: pb.FleetExchange,
 ) -> None:
-    """Fetches records if the other instance has a later revision."""
-    state = gateway.gossip
-    own_revision = gateway.views.records.revision
-    if answer.published_revision <= own_revision or state.is_fetching:
+    """Fetches records if the other instance has a later state."""
+    state, records = gateway.gossip, gateway.views.records
+    if not _is_ahead(gateway, answer) or state.is_fetching:
         return
+    request = pb.PublishedNews(revision=records.revision, era=records.era)
     state.is_fetching = True
     try:
         body = await _post(
             gateway,
             address,
             b'/news',
-            pb.PublishedNews(revision=own_revision).SerializeToString(),
+            request.SerializeToString(),
             _FETCH_TIMEOUT_S,
         )
     finally:
@@ -254,6 +254,12 @@
         apply_updates(gateway, updates, source, is_reliable=is_reliable)
 
 
+def _is_ahead(gateway: Gateway, message: pb.FleetExchange) -> bool:
+    """Returns whether the sender has records of a later era or revision."""
+    position = (message.published_era, message.published_revision)
+    return position > gateway.views.records.position
+
+
 async def _post(
     gateway: Gateway,
     address: str,
--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -183,6 +183,7 @@
         revision=updates.revision,
         is_whole=updates.is_snapshot,
         is_in_trouble=is_outage,
+        era=updates.era,
     )
     return message.SerializeToString()
 
@@ -197,7 +198,9 @@
         )
         for record in message.records
     )
-    return RecordUpdates(events, message.revision, message.is_whole)
+    return RecordUpdates(
+        events, message.revision, message.is_whole, message.era
+    )
 
 
 def encode_relay(
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -80,7 +80,7 @@
     reply: Reply,
 ) -> None:
     request = pb.PublishedNews.FromString(raw.body)
-    updates = gateway.views.records.updates_since(request.revision)
+    updates = gateway.views.records.updates_since(request.revision, request.era)
     is_outage = gateway.views.outage.is_ongoing
     encoded = encode_updates(updates, is_outage=is_outage)
     await reply.send_complete(HTTPStatus.OK, _PROTOBUF_HEADERS, encoded)
--- a/src/masticstage/platform/names.py
+++ b/src/masticstage/platform/names.py
@@ -25,6 +25,8 @@
 #: From an upstream with status 503: how long it wants nothing from this
 #: instance. To a caller: when to come back.
 RETRY_AFTER: Final = b'retry-after'
+#: From the store: how often it has been restored from a copy.
+STORE_ERA: Final = 'store-era'
 CONTENT_ENCODING: Final = b'content-encoding'
 HOST: Final = b'host'
 CONNECTION: Final = b'connection'
--- a/src/masticstage/platform/store.py
+++ b/src/masticstage/platform/store.py
@@ -20,6 +20,7 @@
 from masticstage.forwarding.read_pauses import ANSWER_MARGIN_S
 from masticstage.forwarding.record_cache import RecordEvent, RecordUpdates
 from masticstage.platform import names
+from masticstage.platform.eras import read_era
 
 #: Timeout for one page when all records are read.
 _PAGE_TIMEOUT_S: Final = 1.5
@@ -71,23 +72,20 @@
 
         The pages may be of different revisions. The result has the revision of
         the first one, so a watch from it reports what changed in between.
+        Pages of several eras are of no use.
         """
-        revision = 0
-        events: list[RecordEvent] = []
-        after = ''
-        while True:
-            query = {'PathPrefix': ''}
-            if after:
-                query['after'] = after
-            fields = await self._get(names.RANGE_PATH, query, _PAGE_TIMEOUT_S)
-            page = _decode(fields, 'items')
-            events.extend(page.events)
-            revision = revision or page.revision
-            if not fields.get('MorePages') or not page.events:
-                return RecordUpdates(tuple(events), revision, is_snapshot=True)
-            if page.events[-1].key <= after:
-                raise PlatformUnavailableError('pages do not advance')
+        page, has_more = await self._read_page('')
+        era, revision = page.position
+        events = list(page.events)
+        while has_more and page.events:
             after = page.events[-1].key
+            page, has_more = await self._read_page(after)
+            if page.era != era:
+                raise PlatformUnavailableError('pages of several eras')
+            if page.events and page.events[-1].key <= after:
+                raise PlatformUnavailableError('pages do not advance')
+            events.extend(page.events)
+        return RecordUpdates(tuple(events), revision, is_snapshot=True, era=era)
 
     async def watch(self, after: int, wait_s: float) -> RecordUpdates:
         """Returns the changes after a revision.
@@ -99,10 +97,10 @@
             'after': str(after),
             'WaitMs': str(round(wait_s * _MS_PER_S)),
         }
-        fields = await self._get(
+        fields, era = await self._get(
             names.WATCH_PATH, query, wait_s + ANSWER_MARGIN_S
         )
-        return _decode(fields, 'events')
+        return _decode(fields, 'events', era)
 
     async def read_changes(self, after: int) -> RecordUpdates:
         """Returns the changes after a revision at once.
@@ -111,10 +109,18 @@
         that may have gone silent unnoticed.
         """
         query = {'PathPrefix': '', 'after': str(after), 'WaitMs': '0'}
-        fields = await self._get(
+        fields, era = await self._get(
             names.WATCH_PATH, query, ANSWER_MARGIN_S, {'connection': 'close'}
         )
-        return _decode(fields, 'events')
+        return _decode(fields, 'events', era)
+
+    async def _read_page(self, after: str) -> tuple[RecordUpdates, bool]:
+        """Reads the page behind a key; returns whether there are more."""
+        query = {'PathPrefix': ''}
+        if after:
+            query['after'] = after
+        fields, era = await self._get(names.RANGE_PATH, query, _PAGE_TIMEOUT_S)
+        return _decode(fields, 'items', era), bool(fields.get('MorePages'))
 
     async def _get(
         self,
@@ -122,8 +128,11 @@
         query: dict[str, str],
         timeout_s: float,
         headers: dict[str, str] | None = None,
-    ) -> _Fields:
-        """Calls the store; `timeout_s` is for the whole call."""
+    ) -> tuple[_Fields, int]:
+        """Calls the store; `timeout_s` is for the whole call.
+
+        Returns the answer and its era.
+        """
         try:
             with trio.fail_after(timeout_s):
                 async with self._client.stream(
@@ -140,7 +149,7 @@
             raise PlatformUnavailableError(type(error).__name__) from error
         if response.status_code != HTTPStatus.OK:
             raise _failure(response.status_code)
-        return _read_fields(body)
+        return _read_fields(body), read_era(response.headers)
 
 
 async def _read_body(response: httpx.Response) -> bytes:
@@ -173,11 +182,11 @@
     return PlatformUnavailableError(f'status {status}')
 
 
-def _decode(fields: _Fields, list_name: str) -> RecordUpdates:
+def _decode(fields: _Fields, list_name: str, era: int) -> RecordUpdates:
     try:
         events = tuple(_decode_event(entry) for entry in fields[list_name])
         return RecordUpdates(
-            events, int(fields['CurrentRev']), is_snapshot=False
+            events, int(fields['CurrentRev']), is_snapshot=False, era=era
         )
     except _DECODE_ERRORS as error:
         raise PlatformUnavailableError('malformed answer') from error
