Keep what a restored store lacks, and refuse what had ended

A removed upstream does not return by name and start, nor does an older configuration version. An answer of an older era is a failed call; one of a later era than the watch asked for makes the instance read all records; a later era from a peer ends the wait of the watch.

--- a/src/masticstage/edges/endpoints.py
+++ b/src/masticstage/edges/endpoints.py
@@ -86,6 +86,7 @@
     table = views.fleet.table
     set_gauge('open_requests', gateway.activity.open_requests)
     set_gauge('published_revision', views.records.revision)
+    set_gauge('published_era', views.records.era)
     set_gauge('configuration_version', table.version if table else 0)
     set_gauge('platform_in_trouble', views.outage.is_ongoing)
     set_gauge('live_instances', gateway.live_count())
--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -103,7 +103,8 @@
     `drain_started_at` is None before the drain.  Cancelling `open_scopes` makes
     the requests of callers end with an answer of the gateway.  While an
     upstream is checked after a broken answer, `broken_requests` holds the
-    requests that broke on it, by its name.
+    requests that broke on it, by its name.  Cancelling `watch_scope` ends the
+    wait of the watch of the platform's records.
     """
 
     open_requests: int = 0
@@ -111,6 +112,7 @@
     open_scopes: set[trio.CancelScope] = attrs.field(factory=set)
     broken_requests: dict[str, BrokenRequests] = attrs.field(factory=dict)
     pending: PendingDispatches = attrs.field(factory=PendingDispatches)
+    watch_scope: trio.CancelScope | None = None
 
 
 @final
--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from masticstage.clock import milliseconds
 from masticstage.edges.gateway import Gateway
 from masticstage.exceptions import (
     AnswerTooLargeError,
@@ -39,6 +40,8 @@
     taken all of them.
     """
     before = gateway.views.records.revision
+    if _begins_era(gateway, updates):
+        _begin_rollback(gateway, updates, source)
     for event in gateway.views.records.apply(updates):
         with gateway.guard(f'record {event.key}'):
             changed = _apply_event(gateway, event, is_reliable=is_reliable)
@@ -79,9 +82,8 @@
 async def refresh_records(gateway: Gateway) -> None:
     """Fetches from the platform what has changed since the known revision."""
     with trio.move_on_after(_REFRESH_TIMEOUT_S):
-        revision = gateway.views.records.revision
         try:
-            updates = await gateway.connections.store.read_changes(revision)
+            updates = await _read_changes(gateway)
         except (HistoryLostError, PlatformUnavailableError) as error:
             gateway.log.record('refresh_failed', reason=str(error))
         else:
@@ -101,11 +103,10 @@
 
     Returns True, as all records have then been read.
     """
-    store, views = gateway.connections.store, gateway.views
-    if has_read_all:
-        updates = await store.watch(views.records.revision, _wait_s(gateway))
-    else:
-        updates = await store.read_all()
+    views = gateway.views
+    updates = await (_watch(gateway) if has_read_all else _read_all(gateway))
+    if updates is None:
+        return True
     if views.outage.record_success():
         _log_recovery(gateway, updates.revision)
     apply_updates(gateway, updates, 'platform', is_reliable=True)
@@ -114,6 +115,93 @@
     return True
 
 
+async def _read_all(gateway: Gateway) -> RecordUpdates:
+    updates = await gateway.connections.store.read_all()
+    _check_era(gateway, updates)
+    return updates
+
+
+async def _watch(gateway: Gateway) -> RecordUpdates | None:
+    """Waits for changes; None if a peer reports a later era meanwhile."""
+    era, revision = gateway.views.records.position
+    with trio.CancelScope() as scope:
+        gateway.activity.watch_scope = scope
+        try:
+            updates = await gateway.connections.store.watch(
+                revision, _wait_s(gateway)
+            )
+        finally:
+            gateway.activity.watch_scope = None
+        _check_era(gateway, updates, era)
+        return updates
+    return None
+
+
+async def _read_changes(gateway: Gateway) -> RecordUpdates:
+    """Reads the changes, or all records if the platform was restored."""
+    era, revision = gateway.views.records.position
+    try:
+        updates = await gateway.connections.store.read_changes(revision)
+        _check_era(gateway, updates, era)
+    except HistoryLostError:
+        return await _read_all(gateway)
+    return updates
+
+
+def _check_era(
+    gateway: Gateway,
+    updates: RecordUpdates,
+    asked_era: int | None = None,
+) -> None:
+    """Checks that an answer of the platform can be applied.
+
+    Raises PlatformUnavailableError if it is older than what is known, and
+    HistoryLostError if the changes do not follow the era that was asked for.
+    """
+    known_era = gateway.views.records.era
+    if updates.era < known_era:
+        raise PlatformUnavailableError(
+            f'era {updates.era} is older than {known_era}'
+        )
+    if asked_era is not None and updates.era != asked_era:
+        raise HistoryLostError('era')
+
+
+def _begins_era(gateway: Gateway, updates: RecordUpdates) -> bool:
+    """Returns whether a snapshot shows that the platform was rolled back."""
+    records = gateway.views.records
+    is_known = records.revision > 0
+    return is_known and updates.is_snapshot and updates.era > records.era
+
+
+def _begin_rollback(
+    gateway: Gateway,
+    updates: RecordUpdates,
+    source: str,
+) -> None:
+    known_era, known_revision = gateway.views.records.position
+    keep_until = _keep_until(gateway)
+    gateway.views.fleet.removals.begin_rollback(keep_until)
+    if gateway.activity.watch_scope is not None:
+        # It waits for a revision that the platform may never issue.
+        gateway.activity.watch_scope.cancel()
+    gateway.metrics.count('platform_rolled_back')
+    gateway.log.record(
+        'platform_rolled_back',
+        era=updates.era,
+        revision=updates.revision,
+        known_era=known_era,
+        known_revision=known_revision,
+        source=source,
+        kept_for_ms=(keep_until - gateway.clock.elapsed()) // _MS,
+    )
+
+
+def _keep_until(gateway: Gateway) -> timedelta:
+    removal_time = milliseconds(gateway.settings.bounds.removal_ms)
+    return gateway.views.outage.keep_until(removal_time)
+
+
 def _wait_s(gateway: Gateway) -> float:
     """Returns how long the next watch waits; zero to test a new connection."""
     outage = gateway.views.outage
@@ -165,10 +253,15 @@
 ) -> str:
     """Applies a record or its deletion; returns the change for the log."""
     fleet = gateway.views.fleet
-    if event.body is not None:
-        return fleet.apply(
-            event.key,
-            gateway.wire.decode_record(event.key, event.body),
-        )
+    published = (
+        None
+        if event.body is None
+        else gateway.wire.decode_record(event.key, event.body)
+    )
+    if event.is_rolled_back:
+        until = _keep_until(gateway)
+        return fleet.apply_rolled_back(event.key, published, until)
+    if published is not None:
+        return fleet.apply(event.key, published)
     due = gateway.views.outage.removals_apply_at()
     return fleet.remove(event.key, due if is_reliable else None)
--- a/src/masticstage/forwarding/outage.py
+++ b/src/masticstage/forwarding/outage.py
@@ -20,6 +20,9 @@
 #: back: the two seconds that the platform promises, and one more response of
 #: its watch.
 _RESTORE_TIME: Final = timedelta(seconds=2.3)
+#: Longest time from the platform's return from a copy until an instance hears
+#: of it, from the platform or a peer.
+_NOTICE_TIME: Final = timedelta(seconds=1)
 #: Time from a removal that is due to the last request that was chosen before.
 _APPLY_TIME: Final = timedelta(seconds=0.3)
 
@@ -72,6 +75,16 @@
             self._recovered_at = self._answered_at
         return was_ongoing
 
+    def keep_until(self, removal_time: timedelta) -> timedelta:
+        """Returns how long to use what a restored platform lacks.
+
+        The platform has just been found to be restored.  Other bounds hold
+        again `_reconnect_time` after its return, and the one on removals
+        follows.
+        """
+        bound = self._reconnect_time + removal_time - _NOTICE_TIME - _APPLY_TIME
+        return self._clock.elapsed() + max(_RESTORE_TIME, bound)
+
     def removals_apply_at(self) -> timedelta | None:
         """Returns the time from which removals apply, None during an outage."""
         if self._is_ongoing:
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -13,6 +13,7 @@
     Unreadable,
     UpstreamRecord,
 )
+from masticstage.forwarding.removals import Removals
 from masticstage.forwarding.routes import RouteTable, ServiceConfig
 from masticstage.forwarding.upstream_notices import UpstreamNotices
 
@@ -42,11 +43,12 @@
     _table: RouteTable | None = None
     _upstreams: dict[str, KnownUpstream] = attrs.field(factory=dict)
     _evacuations: dict[str, Evacuation] = attrs.field(factory=dict)
-    _deferred_removals: dict[str, timedelta | None] = attrs.field(factory=dict)
+    removals: Removals = attrs.field(init=False)
     _notices: UpstreamNotices = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Starts without notices of upstreams."""
+        """Starts without notices of upstreams and without removals."""
+        self.removals = Removals(self._clock)
         self._notices = UpstreamNotices(self._clock, self._removal_time)
 
     @property
@@ -75,12 +77,15 @@
 
         Returns a description of the change for the log, empty if there is none.
         """
-        self._deferred_removals.pop(key, None)
+        self.removals.forget(key)
         match published:
             case RouteTable():
                 return self._apply_table(published)
             case UpstreamRecord():
-                return self._apply_upstream(key, published)
+                until = self._clock.elapsed() + published.cold_for
+                self._upstreams[key] = KnownUpstream(published, until)
+                state = 'leaving' if published.is_leaving else 'ready'
+                return f'upstream {published.name} {state}'
             case Evacuation():
                 self._evacuations[key] = published
                 return f'evacuation of {published.data_centre}'
@@ -96,33 +101,69 @@
         the platform. Returns a description of the change for the log, empty if
         there is none.
         """
+        self.removals.forget(key)
         evacuation = self._evacuations.pop(key, None)
         if evacuation is not None:
             return f'end of evacuation of {evacuation.data_centre}'
         upstream = self._upstreams.get(key)
         if upstream is None:
             return ''
-        if apply_at is None or apply_at > self._clock.elapsed():
-            self._deferred_removals[key] = apply_at
+        self.removals.ended.record(upstream.record)
+        if self.removals.defer(key, apply_at):
             return f'removal of {upstream.record.name} deferred'
-        self._deferred_removals.pop(key, None)
         self._upstreams.pop(key)
         return f'upstream {upstream.record.name} gone'
 
+    def apply_rolled_back(
+        self,
+        key: str,
+        published: Published | None,
+        keep_until: timedelta,
+    ) -> str:
+        """Applies a record of a restored platform, None if it has none.
+
+        What the platform lacks, or has in an older form, is kept until it is
+        written again, for `keep_until` at most.  Removed upstreams stay so, and
+        peers hear that they leave.  Returns a description of the change for
+        the log, empty if there is none.
+        """
+        known = self._upstreams.get(key)
+        match published:
+            case UpstreamRecord():
+                record = known.record if known else None
+                if not self.removals.is_past(published, record):
+                    return self.apply(key, published)
+                self._notices.record_leaving(published, is_own=True)
+                if known is None:
+                    return f'upstream {published.name} had ended'
+            case RouteTable() | Evacuation():
+                return self.apply(key, published)
+        if known is None and key not in self._evacuations:
+            return ''
+        self.removals.keep(key, keep_until)
+        return 'kept until it is written again'
+
     def apply_due_removals(self, apply_at: timedelta | None) -> list[str]:
-        """Removes upstreams whose removal is due; returns their names.
+        """Removes what is due; returns the names of upstreams, or evacuations.
 
         `apply_at` is the due time of removals deferred during an outage, None
         while it lasts.
         """
-        removed = []
-        for key, due in list(self._deferred_removals.items()):
-            due_at = due or apply_at
-            self._deferred_removals[key] = due_at
-            if due_at is not None and due_at <= self._clock.elapsed():
-                self._deferred_removals.pop(key)
-                removed.append(self._upstreams.pop(key).record.name)
-        return removed
+        due = self.removals.take_due(apply_at)
+        evacuations = [
+            self._evacuations.pop(key)
+            for key in due
+            if key in self._evacuations
+        ]
+        upstreams = [
+            self._upstreams.pop(key).record
+            for key in due
+            if key in self._upstreams
+        ]
+        return [
+            *(evacuation.data_centre for evacuation in evacuations),
+            *(upstream.name for upstream in upstreams),
+        ]
 
     def upstreams_of(self, service: str) -> list[KnownUpstream]:
         """Returns the upstreams of a service that may get new requests."""
@@ -191,9 +232,3 @@
             return f'version {table.version} is older than the one in force'
         self._table = table
         return f'version {table.version} in force'
-
-    def _apply_upstream(self, key: str, record: UpstreamRecord) -> str:
-        until = self._clock.elapsed() + record.cold_for
-        self._upstreams[key] = KnownUpstream(record, until)
-        state = 'leaving' if record.is_leaving else 'ready'
-        return f'upstream {record.name} {state}'
