--- a/src/masticstage/forwarding/record_cache.py
+++ b/src/masticstage/forwarding/record_cache.py
@@ -146,7 +146,9 @@
     def _merge(self, event: RecordEvent) -> bool:
         """Stores an event; returns False if the cached one is not older."""
         cached = self._records.get(event.key)
-        if cached is not None and cached.revision >= event.revision:
+        # A key that is not cached did not exist at the compacted revision.
+        known = cached.revision if cached else self._compacted_revision
+        if known >= event.revision:
             return False
         self._records[event.key] = event
         return True
--- a/tests/forwarding/test_record_cache.py
+++ b/tests/forwarding/test_record_cache.py
@@ -134,3 +134,18 @@
 
     bodies = [event.body for event in reader.updates_since(0).events]
     assert bodies == [None]
+
+
+def test_late_updates_do_not_restore_a_record_that_a_snapshot_lacked():
+    """Guards against removed upstreams that return with a peer's late answer.
+
+    Found by the state machine of rollbacks.
+    """
+    cache = RecordCache()
+    cache.apply(RecordUpdates((), 7, is_snapshot=True))
+    late = RecordEvent('a', 6, b'6')
+
+    for is_snapshot in (True, False):
+        updates = RecordUpdates((late,), 6, is_snapshot=is_snapshot)
+        assert not cache.apply(updates)
+    assert not _records(cache)
