--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -170,8 +170,8 @@
 def _begins_era(gateway: Gateway, updates: RecordUpdates) -> bool:
     """Returns whether a snapshot shows that the platform was rolled back."""
     records = gateway.views.records
-    is_known = records.revision > 0
-    return is_known and updates.is_snapshot and updates.era > records.era
+    is_later = updates.is_snapshot and updates.era > records.era
+    return is_later and records.position > (0, 0)
 
 
 def _begin_rollback(
--- a/src/masticstage/forwarding/record_cache.py
+++ b/src/masticstage/forwarding/record_cache.py
@@ -124,7 +124,7 @@
             for key, event in self._records.items()
             if event.body is not None
         }
-        is_rollback = self._revision > 0
+        is_rollback = self.position > (0, 0)
         self._era = updates.era
         self._revision = updates.revision
         self._compacted_revision = updates.revision
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -3,8 +3,9 @@
 import httpx
 import pytest
 
-from masticstage.exceptions import HistoryLostError
+from masticstage.exceptions import HistoryLostError, PlatformUnavailableError
 from masticstage.forwarding.record_cache import RecordCache
+from masticstage.platform.eras import read_era
 from masticstage.platform.store import StoreClient
 from standins.store import Store, create_app
 from tests.edges.deployment import run_with_timeout
@@ -65,3 +66,34 @@
     cache.apply(await client.watch(cache.revision, 0))
 
     assert _live_keys(cache) == {'a', 'c'}
+
+
+class _DrillAfterEachAnswer(httpx.ASGITransport):
+    """Restores the store after each of its answers."""
+
+    def __init__(self, store):
+        super().__init__(app=create_app(store))
+        self._store = store
+
+    async def handle_async_request(self, request):
+        answer = await super().handle_async_request(request)
+        self._store.roll_back(1)
+        return answer
+
+
+@run_with_timeout
+async def test_pages_of_several_eras_are_not_put_together():
+    """Guards against a snapshot of which a part is lost."""
+    store = Store()
+    for number in range(120):
+        store.put(f'servers/{number:03}', {'n': number})
+    client = StoreClient('10.0.0.1:1', _DrillAfterEachAnswer(store))
+
+    with pytest.raises(PlatformUnavailableError):
+        await client.read_all()
+
+
+@pytest.mark.parametrize('text', ['', '-1', '1.5', '9' * 19, '9' * 99, '²'])
+def test_a_malformed_era_is_none(text):
+    """Guards against eras that no message to a peer can hold."""
+    assert read_era({'store-era': text}) == 0
