Restore the store from a copy among the faults of the soak

Cause: no run of real processes had a store that loses acknowledged writes. Change: the fault roll-back takes the store down for 1 s, drops 1 to 8 writes and makes them again 1 s later, deletions too.

--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -1,5 +1,7 @@
 """Runs entry instances and stand-ins of the users' platform as processes."""
 
+import base64
+import json
 import os
 import shutil
 import signal
@@ -112,6 +114,24 @@
                 json={'is_down': is_down},
             )
 
+    async def roll_store_back(self, lost_writes: int) -> dict[str, Any]:
+        """Restores the store from a copy; it is available again.
+
+        Returns what the copy lacks by key, None for a deletion.
+        """
+        async with httpx.AsyncClient(trust_env=False) as client:
+            answer = await client.post(
+                f'http://{self.store_address}/control/mode',
+                json={'is_down': False, 'lost_writes': lost_writes},
+            )
+            answer.raise_for_status()
+        return {
+            event['Key']: None
+            if event.get('Deleted')
+            else json.loads(base64.b64decode(event['Value']))
+            for event in answer.json()['lost']
+        }
+
     async def publish_replica(self, name: str) -> None:
         """Writes the record of a replica that has just started."""
         record = _server_record(name, self.replica_addresses[name])
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -2,7 +2,8 @@
 
 While callers send requests or leave, instances are killed and restarted,
 replicas crash and misbehave, processes of both are paused, data centres are
-evacuated and the store becomes unavailable.  Afterwards the requests that the
+evacuated and the store becomes unavailable or is restored from an older copy.
+Afterwards the requests that the
 replicas logged as run are compared with what the callers received, and with
 when they left.  The last line of the output is one JSON object.
 """
@@ -39,6 +40,9 @@
 
 _FAULT_INTERVAL_S: Final = 1.5
 _STORE_OUTAGE_S: Final = 1.0
+#: How many writes a copy of the store may lack, and when they are made again.
+_LOST_WRITES: Final = (1, 8)
+_WRITTEN_AGAIN_S: Final = 1.0
 #: Shortest and longest pause of a process.  An instance refreshes its view
 #: after a pause of 1.2 s, which lies between them.
 _PROCESS_PAUSE_S: Final = (0.5, 3.0)
@@ -219,6 +223,19 @@
     await fleet.set_store_mode(is_down=False)
 
 
+async def _roll_store_back(fleet: PlatformFleet, random: Random) -> None:
+    """Restores an older copy; what it lacks is written again soon."""
+    await fleet.set_store_mode(is_down=True)
+    await trio.sleep(_STORE_OUTAGE_S)
+    lost = await fleet.roll_store_back(random.randint(*_LOST_WRITES))
+    await trio.sleep(_WRITTEN_AGAIN_S)
+    for key, document in lost.items():
+        if document is None:
+            await fleet.delete_record(key)
+        else:
+            await fleet.put_record(key, document)
+
+
 async def _kill_instance(fleet: PlatformFleet, random: Random) -> None:
     await fleet.restart(random.choice(sorted(fleet.listeners)), is_killed=True)
 
@@ -274,6 +291,7 @@
         'kill': _kill_instance,
         'reuse': _reuse_address,
         'leave': _replace_leaving_replica,
+        'roll-back': _roll_store_back,
         'stop': _restart_instance,
         'store': _take_store_down,
     }
--- a/standins/store.py
+++ b/standins/store.py
@@ -64,11 +64,12 @@
     def roll_back(self, lost_writes: int) -> list[dict[str, Any]]:
         """Restores a copy without the last writes.
 
-        Returns the records that existed before and differ from the copy.
+        Returns the last lost event of each key, in their order.
         """
-        former = self.records
         self.revision = max(0, self.revision - lost_writes)
-        self.writes = self.writes[: self.revision]
+        end = self.revision
+        lost = {event['Key']: event for event in self.writes[end:]}
+        self.writes = self.writes[:end]
         self.records = {}
         for event in self.writes:
             self.records.pop(event['Key'], None)
@@ -82,11 +83,7 @@
         self.compacted_revision = min(self.compacted_revision, self.revision)
         self.era += 1
         self._wake_watches()
-        return [
-            record
-            for key, record in former.items()
-            if self.records.get(key) != record
-        ]
+        return list(lost.values())
 
     def events_after(self, revision: int, prefix: str) -> list[dict[str, Any]]:
         """Returns the events after a revision, of keys with a prefix."""
@@ -178,13 +175,13 @@
     @app.post('/control/mode')
     async def set_mode() -> Response:
         fields = await request.get_json()
+        lost_writes = int(fields.get('lost_writes', 0))
+        lost = store.roll_back(lost_writes) if lost_writes else []
         store.is_down = bool(fields.get('is_down'))
         if fields.get('compact'):
             store.compact()
         for key in fields.get('delete', ()):
             store.delete(key)
-        lost_writes = int(fields.get('lost_writes', 0))
-        lost = store.roll_back(lost_writes) if lost_writes else []
         return _answer({'calls': store.calls, 'lost': lost})
 
     return app
