Let a copy not undo a deletion that an outage deferred

Cause: an instance whose own calls fail defers deletions that it hears of from a peer. If the store came back from a copy then, the copy's record was taken for a new write and the upstream stayed in use. Change: such a record is kept until the bound, like what the copy lacks. A write ends the memory of a deletion, so that a later copy may change the record.

--- a/src/masticstage/forwarding/removals.py
+++ b/src/masticstage/forwarding/removals.py
@@ -33,6 +33,10 @@
         if len(self._started_at_ms) > _MAX_ENDED:
             self._started_at_ms.pop(next(iter(self._started_at_ms)))
 
+    def forget(self, upstream: UpstreamRecord) -> None:
+        """Forgets the end of an upstream that is written again."""
+        self._started_at_ms.pop(upstream.name, None)
+
     def includes(self, upstream: UpstreamRecord) -> bool:
         """Returns whether this start of an upstream, or a later one, ended."""
         ended = self._started_at_ms.get(upstream.name)
@@ -52,6 +56,7 @@
     _clock: Clock
     _deferred: dict[str, timedelta | None] = attrs.field(factory=dict)
     _kept: dict[str, timedelta] = attrs.field(factory=dict)
+    _keep_until: timedelta = timedelta()
     ended: EndedStarts = attrs.field(factory=EndedStarts)
 
     def defer(self, key: str, apply_at: timedelta | None) -> bool:
@@ -76,9 +81,9 @@
         known: UpstreamRecord | None,
     ) -> bool:
         """Returns whether a copy shows a start of an upstream that ended."""
-        if known is None:
-            return self.ended.includes(copied)
-        return _is_older(copied, known)
+        if known is not None and is_older(copied, known):
+            return True
+        return self.ended.includes(copied)
 
     def begin_rollback(self, keep_until: timedelta) -> None:
         """Keeps longer what was about to be removed.
@@ -86,9 +91,14 @@
         It may have been written again since, and that write may be lost.
         """
         keys = (*self._deferred, *self._kept)
+        self._keep_until = keep_until
         self._kept = dict.fromkeys(keys, keep_until)
         self._deferred.clear()
 
+    def kept_for(self) -> timedelta:
+        """Returns how long lost records are still kept, zero if none are."""
+        return max(timedelta(), self._keep_until - self._clock.elapsed())
+
     def take_due(self, apply_at: timedelta | None) -> list[str]:
         """Returns the keys whose removal is due, and forgets them.
 
@@ -109,7 +119,7 @@
         return sorted(due)
 
 
-def _is_older(copied: UpstreamRecord, known: UpstreamRecord) -> bool:
+def is_older(copied: UpstreamRecord, known: UpstreamRecord) -> bool:
     """Returns whether a copy is older than the known record of an upstream.
 
     An upstream that leaves does not take it back before its next start.
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -82,6 +82,7 @@
             case RouteTable():
                 return self._apply_table(published)
             case UpstreamRecord():
+                self.removals.ended.forget(published)
                 until = self._clock.elapsed() + published.cold_for
                 self._upstreams[key] = KnownUpstream(published, until)
                 state = 'leaving' if published.is_leaving else 'ready'
@@ -133,7 +134,9 @@
                 record = known.record if known else None
                 if not self.removals.is_past(published, record):
                     return self.apply(key, published)
-                self._notices.record_leaving(published, is_own=True)
+                # A start that is still in use may have been deleted by mistake.
+                if not record or record.started_at_ms > published.started_at_ms:
+                    self._notices.record_leaving(published, is_own=True)
                 if known is None:
                     return f'upstream {published.name} had ended'
             case RouteTable() | Evacuation():
--- a/tests/forwarding/test_removals.py
+++ b/tests/forwarding/test_removals.py
@@ -76,6 +76,39 @@
     assert not _names(view)
 
 
+@pytest.mark.parametrize('is_written_again', [True, False])
+def test_a_deferred_deletion_is_not_undone_by_the_copy(is_written_again):
+    """Guards against the return of what was deleted just before a drill."""
+    clock = ManualClock()
+    view = FleetView(clock)
+    view.apply('u', build_record())
+    view.remove('u', None)
+
+    _roll_back(view, clock, 'u', build_record())
+    assert _names(view) == ['u-1']
+    if is_written_again:
+        view.apply('u', build_record())
+    clock.advance(2 * _KEEP)
+    view.apply_due_removals(timedelta())
+
+    assert bool(_names(view)) is is_written_again
+
+
+def test_an_upstream_that_was_written_again_stays_in_a_later_copy():
+    """Guards against live upstreams that are taken for deleted ones."""
+    clock = ManualClock()
+    view = FleetView(clock)
+    view.apply('u', build_record())
+    view.remove('u', timedelta())
+    view.apply('u', build_record())
+
+    _roll_back(view, clock, 'u', build_record(slots=9))
+    clock.advance(2 * _KEEP)
+
+    assert not view.apply_due_removals(timedelta())
+    assert view.find('u-1').record.slots == 9
+
+
 def test_what_is_written_again_stays():
     clock = ManualClock()
     view = FleetView(clock)
