Tell instances that start after a drill what the store lost

Cause: an instance that starts between a drill and the next writes has only the copy, so an older configuration with its revoked keys is in force there. Change: the cache remembers records of former eras until they are written again. While lost records are kept, FleetExchange.has_lost_records says so and PublishedNews.lost has them with the time left; each instance asks once an era. Older programs ignore the fields. Nothing is sent without a rollback. Result: tests/edges/test_store_era.py: an instance that knew only the copy had the later configuration and upstreams after one exchange.

--- a/src/masticstage/edges/exchange.py
+++ b/src/masticstage/edges/exchange.py
@@ -5,6 +5,7 @@
 
 from masticstage import peer_pb2 as pb
 from masticstage.edges.gateway import Gateway
+from masticstage.edges.lost_records import has_lost
 from masticstage.edges.messages import (
     decode_cause,
     decode_load,
@@ -52,6 +53,7 @@
         members=[encode_member(member) for member in members],
         published_revision=views.records.revision,
         published_era=views.records.era,
+        has_lost_records=has_lost(gateway),
         summed_region='' if is_own_region else gateway.region,
         crash_causes=map(encode_cause, views.crash_causes.reports()),
     )
--- a/src/masticstage/edges/gossip.py
+++ b/src/masticstage/edges/gossip.py
@@ -23,6 +23,7 @@
 )
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.http_client import OutgoingRequest
+from masticstage.edges.lost_records import apply_lost
 from masticstage.edges.messages import decode_updates
 from masticstage.edges.records import apply_updates
 from masticstage.exceptions import BrokenConnectionError, ConnectError
@@ -147,7 +148,7 @@
     else:
         apply_message(gateway, message)
         _record_datagram_answer(gateway, message)
-    if _is_ahead(gateway, message):
+    if _has_news(gateway, message):
         peer = gateway.views.members.find(message.sender.name)
         if peer is not None:
             gateway.spawn(
@@ -230,9 +231,9 @@
     address: str,
     answer: pb.FleetExchange,
 ) -> None:
-    """Fetches records if the other instance has a later state."""
+    """Fetches records if the other instance has some that are missing here."""
     state, records = gateway.gossip, gateway.views.records
-    if not _is_ahead(gateway, answer) or state.is_fetching:
+    if not _has_news(gateway, answer) or state.is_fetching:
         return
     request = pb.PublishedNews(revision=records.revision, era=records.era)
     state.is_fetching = True
@@ -252,12 +253,19 @@
         source = f'peer {answer.sender.name}'
         is_reliable = not message.is_in_trouble
         apply_updates(gateway, updates, source, is_reliable=is_reliable)
+        apply_lost(gateway, message, source)
 
 
-def _is_ahead(gateway: Gateway, message: pb.FleetExchange) -> bool:
-    """Returns whether the sender has records of a later era or revision."""
+def _has_news(gateway: Gateway, message: pb.FleetExchange) -> bool:
+    """Returns whether the sender has later records, or lost ones of the era."""
     position = (message.published_era, message.published_revision)
-    return position > gateway.views.records.position
+    if position > gateway.views.records.position:
+        return True
+    era = gateway.views.records.era
+    if message.published_era != era:
+        return False
+    is_known = gateway.gossip.lost_era == era
+    return message.has_lost_records and not is_known
 
 
 async def _post(
--- a/src/masticstage/edges/gossip_state.py
+++ b/src/masticstage/edges/gossip_state.py
@@ -25,7 +25,8 @@
 class GossipState:
     """Partners, open questions and the socket for datagrams, if there is one.
 
-    `misses` counts unanswered exchanges in a row, by instance.
+    `misses` counts unanswered exchanges in a row, by instance.  Lost records
+    of the platform have been fetched from a peer in `lost_era`.
     """
 
     random: Random
@@ -34,6 +35,7 @@
     misses: dict[str, int] = attrs.field(factory=dict)
     round_number: int = 0
     is_fetching: bool = False
+    lost_era: int = 0
     datagrams: DatagramSocket | None = None
     _loads: dict[bool, _RecentLoads] = attrs.field(factory=dict)
 
--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -165,44 +165,49 @@
     )
 
 
-def encode_updates(updates: RecordUpdates, *, is_outage: bool) -> bytes:
-    """Returns record updates as a serialised message.
+def encode_updates(
+    updates: RecordUpdates, *, is_outage: bool
+) -> pb.PublishedNews:
+    """Returns the message for record updates.
 
     `is_outage` tells whether the sender cannot reach the platform.
     """
-    message = pb.PublishedNews(
-        records=[
-            pb.PublishedRecord(
-                key=event.key,
-                revision=event.revision,
-                body=event.body or b'',
-                is_deleted=event.body is None,
-            )
-            for event in updates.events
-        ],
+    return pb.PublishedNews(
+        records=map(encode_record, updates.events),
         revision=updates.revision,
         is_whole=updates.is_snapshot,
         is_in_trouble=is_outage,
         era=updates.era,
     )
-    return message.SerializeToString()
 
 
 def decode_updates(message: pb.PublishedNews) -> RecordUpdates:
     """Returns the record updates of a peer."""
-    events = tuple(
-        RecordEvent(
-            record.key,
-            record.revision,
-            None if record.is_deleted else record.body,
-        )
-        for record in message.records
-    )
+    events = tuple(map(decode_record, message.records))
     return RecordUpdates(
         events, message.revision, message.is_whole, message.era
     )
 
 
+def decode_record(record: pb.PublishedRecord) -> RecordEvent:
+    """Returns a record of a peer, or its deletion."""
+    return RecordEvent(
+        record.key,
+        record.revision,
+        None if record.is_deleted else record.body,
+    )
+
+
+def encode_record(event: RecordEvent) -> pb.PublishedRecord:
+    """Returns the message for a record or its deletion."""
+    return pb.PublishedRecord(
+        key=event.key,
+        revision=event.revision,
+        body=event.body or b'',
+        is_deleted=event.body is None,
+    )
+
+
 def encode_relay(
     request: CallerRequest,
     service: str,
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -22,6 +22,7 @@
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.health_checks import update_upstream_health
 from masticstage.edges.http_server import Reply
+from masticstage.edges.lost_records import add_lost
 from masticstage.edges.messages import (
     decode_relay_request,
     decode_relay_route,
@@ -82,7 +83,9 @@
     request = pb.PublishedNews.FromString(raw.body)
     updates = gateway.views.records.updates_since(request.revision, request.era)
     is_outage = gateway.views.outage.is_ongoing
-    encoded = encode_updates(updates, is_outage=is_outage)
+    message = encode_updates(updates, is_outage=is_outage)
+    add_lost(gateway, message)
+    encoded = message.SerializeToString()
     await reply.send_complete(HTTPStatus.OK, _PROTOBUF_HEADERS, encoded)
 
 
--- a/src/masticstage/forwarding/record_cache.py
+++ b/src/masticstage/forwarding/record_cache.py
@@ -60,6 +60,7 @@
     _era: int = 0
     _records: dict[str, RecordEvent] = attrs.field(factory=dict)
     _compacted_revision: int = 0
+    _lost: dict[str, RecordEvent] = attrs.field(factory=dict)
 
     @property
     def revision(self) -> int:
@@ -114,13 +115,25 @@
             events, self._revision, is_snapshot=is_snapshot, era=self._era
         )
 
+    def has_deleted(self, key: str) -> bool:
+        """Returns whether a record is known to have been deleted."""
+        event = self._records.get(key)
+        return event is not None and event.body is None
+
+    def lost_records(self) -> tuple[RecordEvent, ...]:
+        """Returns what was lost in a rollback and not written again since.
+
+        These are records of former eras that differ from the present ones.
+        """
+        return tuple(self._lost.values())
+
     def _begin_era(self, updates: RecordUpdates) -> list[RecordEvent]:
         """Replaces all records by a snapshot of a later era.
 
         Returns the records and deletions that were not known in this form.
         """
         former = {
-            key: event.body
+            key: event
             for key, event in self._records.items()
             if event.body is not None
         }
@@ -129,13 +142,19 @@
         self._revision = updates.revision
         self._compacted_revision = updates.revision
         self._records = {event.key: event for event in updates.events}
+        self._lost = {
+            key: event
+            for key, event in {**former, **self._lost}.items()
+            if self._body(key) != event.body
+        }
+        known = {key: event.body for key, event in former.items()}
         self._compact()
         changed = [
             attrs.evolve(
                 event, is_rolled_back=is_rollback and event.body is not None
             )
             for event in updates.events
-            if former.get(event.key) != event.body
+            if known.get(event.key) != event.body
         ]
         changed.extend(
             RecordEvent(key, updates.revision, None, is_rolled_back=True)
@@ -151,8 +170,13 @@
         if known >= event.revision:
             return False
         self._records[event.key] = event
+        self._lost.pop(event.key, None)
         return True
 
+    def _body(self, key: str) -> bytes | None:
+        event = self._records.get(key)
+        return event.body if event else None
+
     def _remove_unlisted(self, updates: RecordUpdates) -> Iterable[RecordEvent]:
         """Deletes records that a snapshot lacks; returns the deletions."""
         # A snapshot of a peer also has deletions, which may be old.
--- a/tests/edges/test_store_era.py
+++ b/tests/edges/test_store_era.py
@@ -1,8 +1,10 @@
 """Tests of instances whose store is restored from an older copy."""
 
 from contextlib import asynccontextmanager
+from datetime import timedelta
 from functools import partial
 
+import httpx
 import pytest
 import trio
 from trio.testing import MockClock
@@ -27,6 +29,7 @@
     run_with_timeout,
 )
 from tests.edges.silent_store import SilentTransport, TrioClock
+from tests.forwarding_builders import build_table
 
 #: Time of a drill without the store.
 _DOWN_S = 1.5
@@ -285,6 +288,35 @@
         assert kept['restarted'] == 2
 
 
+@run_with_timeout
+async def test_an_instance_that_starts_after_a_drill_learns_what_was_lost():
+    """Guards against revoked keys in an instance that knows only the copy."""
+    store = Store()
+    app = httpx.ASGITransport(app=create_app(store))
+    client = StoreClient('10.0.0.1:1', app)
+    _write_what_the_copy_has(store)
+    answers = [await client.read_all()]
+    _write_what_is_lost(store)
+    answers.append(await client.watch(_COPIED_REVISION, 0))
+    store.roll_back(4)
+    answers.append(await client.read_all())
+    async with deploy_two_regions(build_table(0)) as (deployment, far):
+        near = deployment.gateway
+        for updates in answers:
+            apply_updates(far, updates, 'platform', is_reliable=True)
+            far.views.fleet.apply_due_removals(timedelta())
+        apply_updates(near, answers[-1], 'platform', is_reliable=True)
+        assert _version(near) == 1
+
+        await _wait_until(lambda: _version(near) == 2)
+
+        starts = _starts(near)
+        assert (starts['restarted'], starts['new']) == (2, 1)
+        assert 'old' not in starts
+        # They are not passed on, which would keep them beyond the bound.
+        assert not (await _fetch(near)).lost
+
+
 async def _fetch(gateway, **known):
     """Asks an instance for records, as a peer that knows a position."""
     peer = await connect(gateway.settings.listen.peers, 1, gateway.clock)
--- a/tests/forwarding/test_record_cache.py
+++ b/tests/forwarding/test_record_cache.py
@@ -149,3 +149,25 @@
         updates = RecordUpdates((late,), 6, is_snapshot=is_snapshot)
         assert not cache.apply(updates)
     assert not _records(cache)
+
+
+def _snapshot(era, *events):
+    return RecordUpdates(events, 9, is_snapshot=True, era=era)
+
+
+def test_lost_records_are_known_until_they_are_written_again():
+    """Guards against a second rollback that hides what the first one lost."""
+    cache = RecordCache()
+    first, later = RecordEvent('a', 1, b'1'), RecordEvent('a', 8, b'8')
+    other = RecordEvent('b', 9, b'9')
+    cache.apply(_snapshot(0, later, other))
+    assert not cache.lost_records()
+
+    cache.apply(_snapshot(1, first))
+    assert cache.lost_records() == (later, other)
+    cache.apply(_snapshot(2, first))
+    assert set(cache.lost_records()) == {later, other}
+
+    again = (RecordEvent('a', 10, b'8'), RecordEvent('b', 11, None))
+    cache.apply(RecordUpdates(again, 11, is_snapshot=False, era=2))
+    assert not cache.lost_records()
