Let no restored copy make a warm upstream cold again

Cause: the copy of an upstream's record has the warm-up that was left when it was written; applied again, it limits a warm upstream like a cold one. Change: for the same start the earlier end of the warm-up holds. Result: test_a_copy_does_not_make_a_warm_upstream_cold failed before and passes.

--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -133,7 +133,9 @@
             case UpstreamRecord():
                 record = known.record if known else None
                 if not self.removals.is_past(published, record):
-                    return self.apply(key, published)
+                    change = self.apply(key, published)
+                    _keep_warm(self._upstreams[key], known)
+                    return change
                 # A start that is still in use may have been deleted by mistake.
                 if not record or record.started_at_ms > published.started_at_ms:
                     self._notices.record_leaving(published, is_own=True)
@@ -235,3 +237,9 @@
             return f'version {table.version} is older than the one in force'
         self._table = table
         return f'version {table.version} in force'
+
+
+def _keep_warm(copied: KnownUpstream, known: KnownUpstream | None) -> None:
+    """Lets no copy prolong a warm-up that began with the same start."""
+    if known and known.record.started_at_ms == copied.record.started_at_ms:
+        copied.cold_until = min(copied.cold_until, known.cold_until)
--- a/tests/forwarding/test_removals.py
+++ b/tests/forwarding/test_removals.py
@@ -109,6 +109,18 @@
     assert view.find('u-1').record.slots == 9
 
 
+def test_a_copy_does_not_make_a_warm_upstream_cold():
+    """Guards against few requests to an upstream whose warm-up has ended."""
+    clock = ManualClock()
+    view = FleetView(clock)
+    view.apply('u', build_record())
+    clock.advance(SECOND)
+
+    _roll_back(view, clock, 'u', build_record(cold_for=5 * SECOND))
+
+    assert view.find('u-1').cold_until <= clock.elapsed()
+
+
 def test_what_is_written_again_stays():
     clock = ManualClock()
     view = FleetView(clock)
