--- a/src/masticstage/edges/catch_up.py
+++ b/src/masticstage/edges/catch_up.py
@@ -14,6 +14,8 @@
 _INTERVAL_S: Final = 0.4
 #: Longest time that a request waits for a fetch.
 _TIMEOUT_S: Final = 0.8
+#: Position of an instance without records.
+_NO_POSITION: Final = (0, 0)
 
 
 async def catch_up(gateway: Gateway) -> bool:
@@ -58,11 +60,11 @@
 
 def _peers_ahead(gateway: Gateway) -> list[Member]:
     """Returns the live instances that have later records."""
-    known = gateway.gossip.peer_revisions
-    own_revision = gateway.views.records.revision
+    known = gateway.gossip.peer_positions
+    own_position = gateway.views.records.position
     return [
         member
         for member in gateway.views.members.others()
-        if known.get(member.identity.name, 0) > own_revision
+        if known.get(member.identity.name, _NO_POSITION) > own_position
         and member.liveness is Liveness.LIVE
     ]
--- a/src/masticstage/edges/exchange.py
+++ b/src/masticstage/edges/exchange.py
@@ -5,6 +5,7 @@
 
 from masticstage import peer_pb2 as pb
 from masticstage.edges.gateway import Gateway
+from masticstage.edges.lost_records import has_lost
 from masticstage.edges.messages import (
     decode_cause,
     decode_load,
@@ -51,6 +52,8 @@
         sender=pb.Incarnation(name=own.name, number=own.incarnation),
         members=[encode_member(member) for member in members],
         published_revision=views.records.revision,
+        published_era=views.records.era,
+        has_lost_records=has_lost(gateway),
         summed_region='' if is_own_region else gateway.region,
         crash_causes=map(encode_cause, views.crash_causes.reports()),
     )
@@ -77,8 +80,9 @@
 def apply_message(gateway: Gateway, message: pb.FleetExchange) -> None:
     """Merges the sender's view into the own one; logs changed members."""
     views = gateway.views
-    gateway.gossip.peer_revisions[message.sender.name] = (
-        message.published_revision
+    gateway.gossip.peer_positions[message.sender.name] = (
+        message.published_era,
+        message.published_revision,
     )
     for member in views.members.merge(
         decode_member(record) for record in message.members
--- a/src/masticstage/edges/gossip.py
+++ b/src/masticstage/edges/gossip.py
@@ -23,6 +23,7 @@
 )
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.http_client import OutgoingRequest
+from masticstage.edges.lost_records import apply_lost
 from masticstage.edges.messages import decode_updates
 from masticstage.edges.near_records import wait_for_near_peers
 from masticstage.edges.records import apply_updates
@@ -149,7 +150,7 @@
     else:
         apply_message(gateway, message)
         _record_datagram_answer(gateway, message)
-    if message.published_revision > gateway.views.records.revision:
+    if _has_news(gateway, message):
         peer = gateway.views.members.find(message.sender.name)
         if peer is not None:
             gateway.spawn(
@@ -232,17 +233,16 @@
     address: str,
     answer: pb.FleetExchange,
 ) -> None:
-    """Fetches records if the other instance has a later revision.
+    """Fetches records if the other instance has some that are missing here.
 
     If it is in another region, near instances get the chance to be first.
     """
     state = gateway.gossip
-    if answer.published_revision <= gateway.views.records.revision:
+    if not _has_news(gateway, answer):
         return
     if not await wait_for_near_peers(gateway, answer.sender.name):
         return
-    own_revision = gateway.views.records.revision
-    if answer.published_revision <= own_revision or state.is_fetching:
+    if not _has_news(gateway, answer) or state.is_fetching:
         return
     state.is_fetching = True
     try:
@@ -251,23 +251,37 @@
         state.is_fetching = False
 
 
+def _has_news(gateway: Gateway, message: pb.FleetExchange) -> bool:
+    """Returns whether the sender has later records, or lost ones of the era."""
+    position = (message.published_era, message.published_revision)
+    if position > gateway.views.records.position:
+        return True
+    era = gateway.views.records.era
+    if message.published_era != era:
+        return False
+    is_known = gateway.gossip.lost_era == era
+    return message.has_lost_records and not is_known
+
+
 async def fetch_records(gateway: Gateway, address: str, name: str) -> bool:
     """Fetches and applies what an instance knows besides; False if it fails."""
+    records = gateway.views.records
+    request = pb.PublishedNews(revision=records.revision, era=records.era)
     body = await post_message(
         gateway,
         address,
         b'/news',
-        pb.PublishedNews(
-            revision=gateway.views.records.revision
-        ).SerializeToString(),
+        request.SerializeToString(),
         _FETCH_TIMEOUT_S,
     )
     if body is None:
         return False
     message = pb.PublishedNews.FromString(body)
     updates = decode_updates(message)
+    source = f'peer {name}'
     is_reliable = not message.is_in_trouble
-    apply_updates(gateway, updates, f'peer {name}', is_reliable=is_reliable)
+    apply_updates(gateway, updates, source, is_reliable=is_reliable)
+    apply_lost(gateway, message, source)
     return True
 
 
--- a/src/masticstage/edges/gossip_state.py
+++ b/src/masticstage/edges/gossip_state.py
@@ -41,17 +41,20 @@
     """Partners, open questions and the socket for datagrams, if there is one.
 
     `misses` counts unanswered exchanges in a row, by instance.
-    `peer_revisions` are those of the records of other instances, by name.
+    `peer_positions` are those of the records of other instances, by name: era
+    and revision.  Lost records of the platform have been fetched from a peer in
+    `lost_era`.
     """
 
     random: Random
     partners: PartnerCycle = attrs.field(init=False)
     questions: OpenQuestions = attrs.field(factory=OpenQuestions)
     misses: dict[str, int] = attrs.field(factory=dict)
-    peer_revisions: dict[str, int] = attrs.field(factory=dict)
+    peer_positions: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     round_number: int = 0
     is_fetching: bool = False
     is_waiting_for_near: bool = False
+    lost_era: int = 0
     datagrams: DatagramSocket | None = None
     catch_up: CatchUpState = attrs.field(factory=CatchUpState)
     _loads: dict[bool, _RecentLoads] = attrs.field(factory=dict)
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -153,7 +153,7 @@
     """Sleeps, and records how late the event loop woke up."""
     is_busy = (
         gateway.activity.open_requests
-        or gateway.views.fleet.has_deferred_removals
+        or gateway.views.fleet.removals.are_pending
     )
     late_s = await sleep_until_next(_TICK_S if is_busy else _IDLE_TICK_S)
     late_by = timedelta(seconds=late_s)
--- a/tests/edges/test_teams.py
+++ b/tests/edges/test_teams.py
@@ -274,7 +274,7 @@
         updates = _configuration(_KEY)
         apply_updates(far, updates, 'test', is_reliable=True)
         near = deployment.gateway
-        near.gossip.peer_revisions[far.name] = updates.revision
+        near.gossip.peer_positions[far.name] = (0, updates.revision)
         status, _, _ = await deployment.request(b'/stock/1', b'', _BEARER)
 
         assert status == 200
