Begin one pace for each warm-up

Each answer of a cold upstream reports its warm-up time, and each of them made a new pace begin, so that its limit never grew while it was cold and had no published rate. A warm-up counts now when the upstream was not cold before.

test_reports_of_one_warm_up_begin_one_pace fails on the code before and passes now, with the other tests of pacer, view and cold servers.

--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -182,11 +182,12 @@
 
     def record_warm_up(self, name: str, cold_for: timedelta) -> None:
         """Sets the remaining warm-up time that an upstream reported."""
-        until = self._clock.elapsed() + cold_for
+        now = self._clock.elapsed()
         for upstream in self._upstreams.values():
             if upstream.record.name == name:
-                upstream.cold_until = until
-                upstream.awaits_pace = True
+                # Each answer of a cold upstream reports its warm-up again.
+                upstream.awaits_pace |= upstream.cold_until <= now
+                upstream.cold_until = now + cold_for
 
     def _usable(self) -> Iterator[KnownUpstream]:
         evacuated = self.evacuated
@@ -226,8 +227,8 @@
     An upstream may be new to this instance only, if that has started itself.
     """
     started_at_ms = record.started_at_ms
-    if record.cold_for:
-        return True
     if known is not None and known.record.started_at_ms == started_at_ms:
-        return known.awaits_pace
-    return abs(now_ms - started_at_ms) < _NEW_FOR_MS
+        is_cold_again = record.cold_for and not known.record.cold_for
+        return known.awaits_pace or bool(is_cold_again)
+    age_ms = abs(now_ms - started_at_ms)
+    return bool(record.cold_for) or age_ms < _NEW_FOR_MS
--- a/tests/forwarding/test_pacer.py
+++ b/tests/forwarding/test_pacer.py
@@ -67,6 +67,22 @@
     assert instance.chooser.pacer.count == 1
 
 
+def test_reports_of_one_warm_up_begin_one_pace():
+    """Guards against a limit that each answer of a cold upstream resets."""
+    record = build_record(started_at_ms=1, cold_for=SECOND)
+    instance = _build_instance(record)
+    for _ in range(4):
+        _choose(instance)
+        instance.add_upstream(record)
+        instance.view.record_warm_up(record.name, SECOND)
+        instance.advance(0.5)
+    assert len(instance.chooser.pacer.take_changes()) == 1
+    instance.advance(1)
+    instance.view.record_warm_up(record.name, SECOND)
+    _choose(instance)
+    assert len(instance.chooser.pacer.take_changes()) == 1
+
+
 def test_an_upstream_at_its_limit_is_left_out():
     new = build_record('new', started_at_ms=_NOW_MS)
     instance = _build_instance(new, build_record('old'))
