Say in a refusal by how much a team exceeds its share

Cause: an operator could not see why one team was refused sooner than others. Change: the reason of the refusal, which is logged and sent, names the excess.

--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -221,6 +221,7 @@
     routed, overload = context.routed, context.gateway.views.overload
     table = context.gateway.views.fleet.table
     predicted = timedelta(seconds=choice.expected_s)
+    excess = context.gateway.quotas.balances.excess(routed.team_name)
     if table is None:
         return False
     longest_wait_allowed = overload.longest_wait(
@@ -228,11 +229,12 @@
         routed.route,
         routed.fingerprint,
         context.remaining,
-        context.gateway.quotas.balances.excess(routed.team_name),
+        excess,
     )
     if predicted <= longest_wait_allowed:
         return False
-    context.reason = f'expected in {choice.expected_s:.2f} s'
+    demand = f', team at {excess:.1f} times its share' if excess > 1 else ''
+    context.reason = f'expected in {choice.expected_s:.2f} s{demand}'
     context.retry_after = overload.reserve_retry(
         routed.fingerprint,
         routed.route,
