Test that kept lists of members follow each change

The lists of members that the choice uses are kept until a member changes; a list that outlives a suspicion would send relays to a dead instance.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -57,6 +57,27 @@
             assert held.liveness is Liveness.LEAVING
 
 
+@settings(derandomize=True, deadline=None)
+@given(RECORDS, strategies.lists(strategies.integers(0, 30), max_size=12))
+def test_lists_of_members_follow_each_change(records, pauses_s):
+    """Guards against lists that are kept although a member has changed."""
+    clock = ManualClock()
+    table = build_table(clock=clock)
+    own = table.own
+    for record, pause_s in zip(records, pauses_s, strict=False):
+        table.merge([record])
+        table.suspect('x')
+        clock.advance(timedelta(seconds=pause_s))
+        table.expire()
+        known = table.all_records()[1:]
+        others = [member for member in known if member not in table.gone()]
+        live = [other for other in others if other.liveness is Liveness.LIVE]
+        assert list(table.others()) == others
+        assert list(table.live_in_place(own.region)) == live
+        assert list(table.live_in_place(own.region, own.data_centre)) == live
+        assert not table.live_in_place('elsewhere')
+
+
 def test_suspected_instance_refutes_the_suspicion():
     table = build_table()
     suspicion = attrs.evolve(table.own, liveness=Liveness.SUSPECT)
