--- a/tests/edges/test_near_records.py
+++ b/tests/edges/test_near_records.py
@@ -40,7 +40,7 @@
             await trio.sleep(0.2)
             records.apply(RecordUpdates((), near_revision, is_snapshot=True))
 
-    monkeypatch.setattr(gossip, '_post', post)
+    monkeypatch.setattr(gossip, 'post_message', post)
     trio.run(run, clock=MockClock(autojump_threshold=0))
     return asked
 
