Take no answer with an impossible status, nor one reset during the upload

Cause 1: the parser took every status below 200 for an interim response, so that one with 000 or 099 was skipped and the answer after it was believed; 600 and 999 were passed on to the caller. Cause 2: the kernel reports the reset of a connection once. When the task that writes a long upload met it, reading found what looks like an orderly end, and the part of an answer without a length counted as complete: callers got a cut 200. Change: a status outside 100 to 599 makes an answer malformed. After a failed write the end of a connection completes no answer. What this proves about the request is unchanged (may have run). The stand-in has both as drawn faults.

--- a/src/masticstage/edges/answer_parser.py
+++ b/src/masticstage/edges/answer_parser.py
@@ -18,6 +18,8 @@
 _CONTENT_LENGTH: Final = b'content-length'
 _TRANSFER_ENCODING: Final = b'transfer-encoding'
 _CONNECTION: Final = b'connection'
+#: Last status of RFC 9110; others belong to no class of answers.
+_LAST_STATUS: Final = 599
 #: Statuses of answers that never have a body.
 _BODILESS: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED),
@@ -121,6 +123,8 @@
         if self.is_complete:
             return
         status = self._parser.get_status_code()
+        if not HTTPStatus.CONTINUE <= status <= _LAST_STATUS:
+            raise MalformedAnswerError('status that HTTP does not have')
         if status < HTTPStatus.OK:
             # An interim response; the answer follows.
             self._headers.clear()
--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -96,6 +96,7 @@
     _requests: int = 0
     _refused_ids: set[str] = attrs.field(factory=set)
     _is_unusable: bool = False
+    _has_write_failed: bool = False
     _read_bytes: int = READ_BYTES
 
     @property
@@ -218,8 +219,9 @@
         try:
             await self._stream.send(payload)
         except _CONNECTION_ERRORS:
-            # Reading the answer fails as well and reports the error.
+            # The kernel reports a reset once; reading may find an orderly end.
             self._is_unusable = True
+            self._has_write_failed = True
         else:
             self._pending_writes -= 1
 
@@ -230,12 +232,18 @@
             if received:
                 answer.feed(received)
             else:
-                answer.feed_end()
+                self._feed_end(answer)
         except _CONNECTION_ERRORS as error:
             raise self._broken_connection(type(error).__name__) from error
         except MalformedAnswerError as error:
             raise self._broken_connection(error.reason) from error
 
+    def _feed_end(self, answer: AnswerParser) -> None:
+        """Ends an answer, unless the connection was reset."""
+        if self._has_write_failed:
+            raise MalformedAnswerError('reset while the request was written')
+        answer.feed_end()
+
     def _broken_connection(self, reason: str) -> BrokenConnectionError:
         """Marks the connection as unusable; returns the error to raise."""
         self._is_unusable = True
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -63,11 +63,29 @@
     ANSWER_TWICE = 'answer-twice'
     #: The same without a request id.
     UNNAMED_ANSWER_TWICE = 'unnamed-answer-twice'
+    #: An answer with a status that HTTP does not have, and then a sound one.
+    ZERO_STATUS = 'status-000'
+    LOW_STATUS = 'status-099'
+    HIGH_STATUS = 'status-600'
+    HIGHEST_STATUS = 'status-999'
+    #: A part of an answer without a length, before the request was read; then
+    #: the connection is reset, before or after the rest of the request arrives.
+    EARLY_RESET = 'early-reset'
+    EARLY_LATE_RESET = 'early-late-reset'
 
 
 UNFRAMED_FAULTS: Final = frozenset(
     (Fault.UNFRAMED, Fault.UNFRAMED_CUT_IN_EVENT, Fault.UNFRAMED_RESET)
 )
+EARLY_FAULTS: Final = frozenset((Fault.EARLY_RESET, Fault.EARLY_LATE_RESET))
+INVALID_STATUS: Final = MappingProxyType(
+    {
+        Fault.ZERO_STATUS: '000',
+        Fault.LOW_STATUS: '099',
+        Fault.HIGH_STATUS: '600',
+        Fault.HIGHEST_STATUS: '999',
+    }
+)
 STATUS_AFTER_RUN: Final = MappingProxyType(
     {
         Fault.RAN_TIMEOUT: 408,
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -23,6 +23,8 @@
 from standins.faults import (
     ANSWERS_WRITTEN_TWICE,
     DRAWN_FAULTS,
+    EARLY_FAULTS,
+    INVALID_STATUS,
     REFUSALS,
     REFUSALS_WRITTEN_TWICE,
     STATUS_AFTER_RUN,
@@ -32,7 +34,8 @@
 )
 from standins.replica_wire import (
     cancel_on_close,
-    read_request,
+    read_body,
+    read_head,
     send_empty_answer,
     send_text,
     write,
@@ -40,6 +43,7 @@
 
 _EVENTS: Final = 6
 _EVENT_INTERVAL_S: Final = 0.01
+_FIRST_EVENT: Final = b'id: 1\ndata: piece 1\n\n'
 _OLD_REFUSAL: Final = (('X-Not-Executed', '1'), ('X-Request-Id', 'another'))
 
 
@@ -119,7 +123,7 @@
         parser: h11.Connection,
     ) -> bool:
         """Returns whether the connection can be reused."""
-        request, body = await read_request(stream, parser)
+        request = await read_head(stream, parser)
         if request is None:
             return False
         fields = {
@@ -127,11 +131,15 @@
         }
         fields['path'] = request.target.decode()
         if fields['path'] == '/health':
+            await read_body(stream, parser)
             await self._answer_health(stream, parser)
             return True
         self.requests.append(fields)
-        self.bodies.append(body)
         fault = self.faults.popleft() if self.faults else self.draw_fault()
+        if fault in EARLY_FAULTS and not self._is_misdirected(fields):
+            await self._reset_early(stream, parser, fields, fault)
+            return False
+        self.bodies.append(await read_body(stream, parser))
         self.open_requests += 1
         is_reusable = False
         try:
@@ -195,7 +203,9 @@
         """Runs a request; returns whether the connection can be reused."""
         self.executed_ids.append(fields['x-request-id'])
         self.on_run(fields['x-request-id'])
-        await stream.send_all(self._late_copies.pop(stream, b''))
+        headers = self._answer_headers(fields, fault)
+        late_copy = self._late_copies.pop(stream, b'')
+        await stream.send_all(late_copy + _render_invalid(fault, headers))
         if self._is_deadly(fields):
             self.crash()
         if fault is Fault.HALF_CLOSED:
@@ -204,7 +214,6 @@
             await trio.sleep_forever()
         if fault is Fault.RESET:
             return False
-        headers = self._answer_headers(fields, fault)
         status = STATUS_AFTER_RUN.get(fault)
         if status is not None:
             await send_empty_answer(stream, parser, status, headers)
@@ -222,6 +231,25 @@
             )
         return await self._send_answer(stream, parser, fault, headers)
 
+    async def _reset_early(
+        self,
+        stream: trio.SocketStream,
+        parser: h11.Connection,
+        fields: dict[str, str],
+        fault: Fault,
+    ) -> None:
+        """Sends a part of an answer, then resets the connection."""
+        self.executed_ids.append(fields['x-request-id'])
+        self.on_run(fields['x-request-id'])
+        headers = self._answer_headers(fields, fault)
+        if 'x-token-counts' in fields:
+            headers = (*headers, ('Content-Type', 'text/event-stream'))
+        await stream.send_all(_render_head('200', headers) + _FIRST_EVENT)
+        await trio.sleep(_EVENT_INTERVAL_S)
+        if fault is Fault.EARLY_LATE_RESET:
+            await read_body(stream, parser)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+
     async def _refuse(
         self,
         stream: trio.SocketStream,
@@ -290,8 +318,7 @@
         """Returns whether the connection can be reused."""
         body = f'answer of {self.name}'.encode()
         if fault in UNFRAMED_FAULTS:
-            head = ''.join(f'{name}: {text}\r\n' for name, text in headers)
-            await stream.send_all(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode())
+            await stream.send_all(_render_head('200', headers))
             await stream.send_all(body)
             await stream.send_eof()
             return False
@@ -364,11 +391,8 @@
         )
         if fault is Fault.UNFRAMED_CUT_IN_EVENT:
             body = body[:-1]
-        head = ''.join(f'{name}: {text}\r\n' for name, text in headers)
-        await stream.send_all(
-            f'HTTP/1.1 200 OK\r\n{head}'
-            'Content-Type: text/event-stream\r\n\r\n'.encode()
-        )
+        typed = (*headers, ('Content-Type', 'text/event-stream'))
+        await stream.send_all(_render_head('200', typed))
         await stream.send_all(body)
         if fault is Fault.UNFRAMED_RESET:
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
@@ -377,6 +401,21 @@
         return False
 
 
+def _render_head(status: str, headers: tuple[tuple[str, str], ...]) -> bytes:
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in headers)
+    return f'HTTP/1.1 {status} Text\r\n{lines}\r\n'.encode()
+
+
+def _render_invalid(
+    fault: Fault, headers: tuple[tuple[str, str], ...]
+) -> bytes:
+    """Returns an answer with a status that HTTP does not have, if any."""
+    status = INVALID_STATUS.get(fault)
+    if status is None:
+        return b''
+    return _render_head(status, (*headers, ('Content-Length', '0')))
+
+
 def _draw_random_fault(random: Random, fault_share: float) -> Fault:
     if random.random() >= fault_share:
         return Fault.NONE
--- a/standins/replica_wire.py
+++ b/standins/replica_wire.py
@@ -22,23 +22,37 @@
         scope.cancel()
 
 
-async def read_request(
+async def read_head(
     stream: trio.SocketStream,
     parser: h11.Connection,
-) -> tuple[h11.Request | None, bytes]:
-    """Returns a request and its body; no request at the end of the stream."""
-    request = None
+) -> h11.Request | None:
+    """Returns the head of a request; None at the end of the stream."""
+    event = await _next_event(stream, parser)
+    return event if isinstance(event, h11.Request) else None
+
+
+async def read_body(
+    stream: trio.SocketStream,
+    parser: h11.Connection,
+) -> bytes:
+    """Returns the body of a request."""
     body = b''
-    while True:
+    event = await _next_event(stream, parser)
+    while isinstance(event, h11.Data):
+        body += bytes(event.data)
+        event = await _next_event(stream, parser)
+    return body
+
+
+async def _next_event(
+    stream: trio.SocketStream,
+    parser: h11.Connection,
+) -> object:
+    event = parser.next_event()
+    while event is h11.NEED_DATA:
+        parser.receive_data(await stream.receive_some(_READ_BYTES))
         event = parser.next_event()
-        if event is h11.NEED_DATA:
-            parser.receive_data(await stream.receive_some(_READ_BYTES))
-        elif isinstance(event, h11.Request):
-            request = event
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        else:
-            return request, body
+    return event
 
 
 async def send_empty_answer(
--- a/tests/edges/test_answer_parser.py
+++ b/tests/edges/test_answer_parser.py
@@ -49,6 +49,20 @@
             parser.feed_end()
 
 
+@pytest.mark.parametrize('status', [b'000', b'001', b'099', b'600', b'999'])
+def test_a_status_that_http_does_not_have_is_malformed(status):
+    """Guards against answers that are skipped as interim or passed on."""
+    with pytest.raises(MalformedAnswerError):
+        _parse(b'HTTP/1.1 %b Text\r\nContent-Length: 0\r\n\r\n' % status)
+
+
+@pytest.mark.parametrize('status', [b'200', b'599'])
+def test_an_unusual_status_of_a_known_class_is_an_answer(status):
+    parser = _parse(b'HTTP/1.1 %b Text\r\nContent-Length: 0\r\n\r\n' % status)
+
+    assert parser.is_complete
+
+
 def test_a_body_without_length_ends_with_the_connection():
     parser = _parse(_HEAD + b'\r\nfi', b'ne')
 
