--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -53,7 +53,7 @@
     `listeners` holds the addresses of each instance by their names in the
     settings. `older` are the instances that run the sources in `older_sources`.
     `pauses` are those of replicas and instances, `paused` names those
-    that stand still now.
+    that stand still now. `limits` is the section of that name in the settings.
     """
 
     folder: Path
@@ -66,6 +66,7 @@
     older_sources: str = ''
     pauses: list[Pause] = attrs.field(factory=list)
     paused: set[str] = attrs.field(factory=set)
+    limits: str = ''
 
     async def start(self, name: str, *command: str) -> None:
         """Starts a Python module; its output is appended to `NAME.log`."""
@@ -183,16 +184,19 @@
     seed: int = 0,
     instances: int = INSTANCES,
     older_sources: str = '',
+    limits: str = '',
 ) -> AsyncIterator[PlatformFleet]:
     """Runs a store, six replicas and some instances inside the context.
 
     `fault_share` is the share of requests on which a replica misbehaves;
     `seed` makes its choices repeatable. Every second instance runs
-    `older_sources`, if there are any.
+    `older_sources`, if there are any. `limits` is the section of that name in
+    the settings of the instances.
     """
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
     fleet = _build_fleet(folder, instances)
+    fleet.limits = limits
     if older_sources:
         fleet.older = frozenset(sorted(fleet.listeners)[::2])
         fleet.older_sources = older_sources
@@ -300,6 +304,7 @@
 repeat_ratio = 0.2
 repeat_window_s = 10
 repeat_slack = 56
+{fleet.limits}
 {places}
 """
 
