Bound what callers outside the limits may hold, in bytes and connections

Cause: only a single request was limited. Many bodies that stopped just short of their end added up to all memory; a body in chunks of one byte cost 42.8 bytes a byte in a list of its chunks, and 130 to 260 us of processor time a chunk, growing with their number; nothing bounded connections. Change: one budget of an instance for unfinished and handled requests and for answers that wait (a quarter of limits.memory_mb), with what stopped first, then the largest and slowest, giving way; bounds on connections from limits.descriptors; small bodies at addresses that need none; bodies in one byte array, chunks parsed by httptools; no copy of the rest for each part of a long write. Settings without [limits] have 512 MB and the process's descriptors.

--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -19,7 +19,8 @@
 from masticstage.edges.decision_log import DecisionLog
 from masticstage.edges.gateway import Activity, Connections, Gateway, Views
 from masticstage.edges.gossip_state import GossipState
-from masticstage.edges.http_client import ConnectionPool
+from masticstage.edges.http_client import ConnectionPool, HeldBodies
+from masticstage.edges.memory_budget import budget_bytes
 from masticstage.edges.reload import SettingsFile
 from masticstage.entrysettings_schema import EntrySettings
 from masticstage.forwarding.budgets import BudgetBounds, RetryBudget
@@ -64,8 +65,15 @@
     settings = settings_file.settings
     region_of = {place.data_centre: place.region for place in settings.places}
     own = settings.instance
+    held = HeldBodies.within(budget_bytes(settings.limits.memory_mb))
     upstream_pool = ConnectionPool(
-        clock, _UPSTREAM_CONNECT_TIMEOUT_S, _UPSTREAM_IDLE_TIMEOUT_S
+        clock, _UPSTREAM_CONNECT_TIMEOUT_S, _UPSTREAM_IDLE_TIMEOUT_S, held=held
+    )
+    peer_pool, gossip_pool = (
+        ConnectionPool(
+            clock, _PEER_CONNECT_TIMEOUT_S, _PEER_IDLE_TIMEOUT_S, held=held
+        )
+        for _ in range(2)
     )
     return Gateway(
         settings_file,
@@ -75,12 +83,8 @@
         Connections(
             StoreClient(settings.store.address),
             upstream_pool,
-            ConnectionPool(
-                clock, _PEER_CONNECT_TIMEOUT_S, _PEER_IDLE_TIMEOUT_S
-            ),
-            ConnectionPool(
-                clock, _PEER_CONNECT_TIMEOUT_S, _PEER_IDLE_TIMEOUT_S
-            ),
+            peer_pool,
+            gossip_pool,
         ),
         Activity(),
         GossipState(Random()),  # noqa: S311 (spreads load; not for secrets)
--- a/src/masticstage/edges/byte_stream.py
+++ b/src/masticstage/edges/byte_stream.py
@@ -63,25 +63,23 @@
 
         Raises trio.BrokenResourceError if the other side takes none for long.
         """
-        rest = self.send_now(payload) if payload else b''
+        # A view, since each part that is taken would copy the rest.
+        rest = memoryview(payload)
+        if payload:
+            sent = self._send_part(rest)
+            rest = rest[sent:]
         while rest:
             with trio.move_on_after(_STALLED_WRITE_S) as scope:
                 await trio.lowlevel.wait_writable(self._socket)
             if scope.cancelled_caught:
                 raise trio.BrokenResourceError('the other side does not read')
-            rest = self.send_now(rest)
+            sent = self._send_part(rest)
+            rest = rest[sent:]
 
     def send_now(self, payload: bytes) -> bytes:
         """Writes what the socket buffer takes; returns the rest."""
-        if self._socket.fileno() < 0:
-            raise trio.ClosedResourceError('the connection was closed')
-        try:
-            sent = self._socket.send(payload)
-        except BlockingIOError:
-            return payload
-        except OSError as error:
-            raise trio.BrokenResourceError(str(error)) from error
-        return payload[sent:]
+        sent = self._send_part(payload)
+        return payload[sent:] if sent else payload
 
     def send_eof(self) -> None:
         """Ends the outgoing direction."""
@@ -124,3 +122,14 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
             )
         self.close()
+
+    def _send_part(self, payload: bytes | memoryview) -> int:
+        """Writes what the socket buffer takes; returns how much."""
+        if self._socket.fileno() < 0:
+            raise trio.ClosedResourceError('the connection was closed')
+        try:
+            return self._socket.send(payload)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -61,23 +61,28 @@
     """Bytes of the bodies that are being read whole."""
 
     total_bytes: int = 0
+    max_bytes: int = attrs.field(factory=lambda: _MAX_HELD_BYTES)
+
+    @classmethod
+    def within(cls, max_bytes: int) -> 'HeldBodies':
+        """Returns the count of an instance with less memory than usual."""
+        return cls(0, min(_MAX_HELD_BYTES, max_bytes))
 
     @contextmanager
-    def count(self) -> Iterator[list[bytes]]:
-        """Yields a list for the chunks of one body, and forgets it after."""
-        chunks: list[bytes] = []
+    def count(self) -> Iterator[bytearray]:
+        """Yields an array for the bytes of one body, and forgets it after."""
+        body = bytearray()
         try:
-            yield chunks
+            yield body
         finally:
-            self.total_bytes -= sum(map(len, chunks))
+            self.total_bytes -= len(body)
 
-    def add(self, chunks: list[bytes], chunk: bytes) -> bool:
+    def add(self, body: bytearray, chunk: bytes) -> bool:
         """Adds a chunk to a body; False if too much would be held."""
         self.total_bytes += len(chunk)
-        chunks.append(chunk)
+        body += chunk
         return (
-            self.total_bytes <= _MAX_HELD_BYTES
-            and sum(map(len, chunks)) <= _MAX_BODY_BYTES
+            self.total_bytes <= self.max_bytes and len(body) <= _MAX_BODY_BYTES
         )
 
 
@@ -173,12 +178,12 @@
 
     async def read_body(self) -> bytes:
         """Reads the body to its end."""
-        with self._held.count() as chunks:
+        with self._held.count() as body:
             while True:
                 chunk = await self.read_chunk()
                 if not chunk:
-                    return b''.join(chunks)
-                if not self._held.add(chunks, chunk):
+                    return bytes(body)
+                if not self._held.add(body, chunk):
                     raise self._broken_connection('body without end')
 
     def prepare_reuse(self) -> bool:
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -6,10 +6,15 @@
 from functools import partial
 from typing import Final
 
+import attrs
 import trio
 
 from masticstage.documents import Faults
 from masticstage.edges.byte_stream import ByteStream
+from masticstage.edges.connection_limits import (
+    ConnectionGroup,
+    limit_connections,
+)
 from masticstage.edges.endpoints import (
     answer_entries,
     answer_metrics,
@@ -20,6 +25,7 @@
 from masticstage.edges.health_checks import start_due_checks
 from masticstage.edges.http_server import Reply, ServerConnection
 from masticstage.edges.listening import listen, serve_connections
+from masticstage.edges.memory_budget import MemoryBudget, budget_bytes
 from masticstage.edges.peer_server import serve_peer
 from masticstage.edges.records import (
     apply_due_removals,
@@ -47,9 +53,10 @@
 #: Shortest drain: callers use a list of entries for a second. With longer
 #: drains, several instances would be out at once in a rolling restart.
 _MIN_DRAIN_S: Final = 1.4
-#: Limits on headers and body of a message from a peer, in bytes. A relay
-#: carries the whole request of a caller.
-_PEER_LIMITS: Final = CallerLimits(65536, 8_388_608)
+#: Bytes of a relay besides the body of its request, which it carries whole.
+_RELAY_BYTES: Final = 131_072
+#: Limits at addresses where requests have no body.
+_BODILESS_LIMITS: Final = CallerLimits(body_bytes=1024)
 
 _BackgroundTask = Callable[[Gateway], Awaitable[None]]
 _RequestHandler = Callable[[Gateway, RawRequest, Reply], Awaitable[None]]
@@ -59,7 +66,6 @@
     """Runs an entry instance until it has drained after a signal."""
     gateway.log.record('started', settings=gateway.settings.instance.name)
     nursery = gateway.nursery
-    listen_on = gateway.settings.listen
     for task in (
         _watch_signals,
         _run_ticks,
@@ -69,16 +75,9 @@
         _watch_settings,
     ):
         nursery.start_soon(_keep_running, gateway, task)
-    for address, respond in (
-        (listen_on.peers, serve_peer),
-        (listen_on.readiness, answer_readiness),
-        (listen_on.entries, answer_entries),
-    ):
-        await nursery.start(_serve, gateway, address, respond, _PEER_LIMITS)
-    if listen_on.metrics:
-        serve_metrics = partial(_serve, gateway, listen_on.metrics)
-        await nursery.start(serve_metrics, answer_metrics, _PEER_LIMITS)
-    await nursery.start(_serve, gateway, listen_on.callers, serve_caller, None)
+    for server in _servers(gateway):
+        if server.address:
+            await nursery.start(_serve, gateway, server)
     await _wait_until_drained(gateway)
     gateway.log.record('stopped', open=gateway.activity.open_requests)
     nursery.cancel_scope.cancel()
@@ -91,36 +90,83 @@
         await trio.sleep(_POLL_INTERVAL_S)
 
 
+@attrs.frozen
+class _Server:
+    """An address that is served: how, and within which limits."""
+
+    address: str
+    respond: _RequestHandler
+    limits: Callable[[], CallerLimits]
+    group: ConnectionGroup
+
+
+def _servers(gateway: Gateway) -> tuple[_Server, ...]:
+    """Returns what an instance serves; callers come last."""
+    listen_on = gateway.settings.listen
+    limits = gateway.settings.limits
+    count = gateway.metrics.count
+    groups = limit_connections(
+        limits.descriptors,
+        MemoryBudget(
+            budget_bytes(limits.memory_mb), partial(count, 'requests_evicted')
+        ),
+        partial(count, 'connections_refused'),
+    )
+
+    def peer_limits() -> CallerLimits:
+        body_bytes = max(gateway.limits().body_bytes, CallerLimits().body_bytes)
+        return CallerLimits(body_bytes=body_bytes + _RELAY_BYTES)
+
+    def bodiless(address: str, respond: _RequestHandler) -> _Server:
+        return _Server(
+            address, respond, lambda: _BODILESS_LIMITS, groups.others
+        )
+
+    return (
+        _Server(listen_on.peers, serve_peer, peer_limits, groups.peers),
+        bodiless(listen_on.readiness, answer_readiness),
+        bodiless(listen_on.entries, answer_entries),
+        bodiless(listen_on.metrics, answer_metrics),
+        _Server(
+            listen_on.callers, serve_caller, gateway.limits, groups.callers
+        ),
+    )
+
+
 async def _serve(
     gateway: Gateway,
-    address: str,
-    respond: _RequestHandler,
-    limits: CallerLimits | None,
+    server: _Server,
     *,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Accepts connections on an address and serves their requests.
-
-    If `limits` is None, those of the configuration in force apply.
-    """
-    listener = listen(address)
+    """Accepts connections on an address and serves their requests."""
+    listener = listen(server.address)
     task_status.started()
 
     async def handle_connection(stream: ByteStream) -> None:
         connection = ServerConnection(
             stream,
             gateway.clock,
-            gateway.limits if limits is None else lambda: limits,
+            server.limits,
             lambda: gateway.drain.is_draining,
+            server.group.holding_of(stream),
         )
-        await gateway.run_guarded(connection.serve, partial(respond, gateway))
+        respond = partial(server.respond, gateway)
+        try:
+            await gateway.run_guarded(connection.serve, respond)
+        finally:
+            server.group.forget(stream)
 
     def log_failure(reason: str) -> None:
         gateway.metrics.count('accept_failed')
-        gateway.log.record('accept_failed', address=address, reason=reason)
+        gateway.log.record(
+            'accept_failed', address=server.address, reason=reason
+        )
 
     with listener:
-        await serve_connections(listener, handle_connection, log_failure)
+        await serve_connections(
+            listener, handle_connection, log_failure, server.group.admit
+        )
 
 
 async def _watch_signals(gateway: Gateway) -> None:
--- a/src/masticstage/edges/listening.py
+++ b/src/masticstage/edges/listening.py
@@ -24,6 +24,7 @@
 
 ConnectionHandler = Callable[[ByteStream], Awaitable[None]]
 FailureLog = Callable[[str], None]
+Admission = Callable[[ByteStream], bool]
 
 
 def listen(address: str) -> socket.socket:
@@ -37,13 +38,19 @@
     return listener
 
 
+def _admit_all(_: ByteStream) -> bool:
+    return True
+
+
 async def serve_connections(
     listener: socket.socket,
     serve_connection: ConnectionHandler,
     log_failure: FailureLog,
+    admit: Admission = _admit_all,
 ) -> None:
     """Accepts connections and handles each in a task of its own.
 
+    One that `admit` rejects is dropped; `admit` closes it.
     A failure, such as a lack of descriptors or an error of the network that
     waited on a connection, is logged, and accepting goes on after a pause.
     """
@@ -51,7 +58,7 @@
         while True:
             await trio.lowlevel.wait_readable(listener)
             try:
-                _accept_waiting(listener, nursery, serve_connection)
+                _accept_waiting(listener, nursery, serve_connection, admit)
             except OSError as error:
                 log_failure(errno.errorcode.get(error.errno or 0, str(error)))
                 await trio.sleep(_PAUSE_S)
@@ -61,6 +68,7 @@
     listener: socket.socket,
     nursery: trio.Nursery,
     serve_connection: ConnectionHandler,
+    admit: Admission,
 ) -> None:
     """Starts a task for each connection that waits, up to the batch size."""
     for _ in range(_BATCH):
@@ -72,7 +80,9 @@
             # Reset by the other side before it was accepted.
             continue
         _configure(connection)
-        nursery.start_soon(serve_connection, ByteStream(connection))
+        stream = ByteStream(connection)
+        if admit(stream):
+            nursery.start_soon(serve_connection, stream)
 
 
 def _configure(connection: socket.socket) -> None:
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -126,7 +126,12 @@
     message: pb.RoutedRelay,
     reply: Reply,
 ) -> None:
-    choice = _choose_candidate(gateway, routed, message.upstream)
+    has_room = reply.take_room(len(routed.request.body))
+    choice = (
+        _choose_candidate(gateway, routed, message.upstream)
+        if has_room
+        else None
+    )
     if choice is None:
         not_sent = DispatchOutcome(
             Evidence.NOT_SENT,
--- a/src/masticstage/entrysettings_schema.py
+++ b/src/masticstage/entrysettings_schema.py
@@ -58,6 +58,18 @@
     configuration_ms: float = 3000
 
 
+@attrs.frozen
+class EntryLimits:
+    """What the machine allows the process; connections and bytes follow.
+
+    `memory_mb` is the memory of the process, `descriptors` the most open files;
+    zero means the limit that the process finds.
+    """
+
+    memory_mb: float = 512
+    descriptors: int = 0
+
+
 @attrs.frozen
 class EntrySettings:
     """Settings of one entry instance on the users' platform."""
@@ -68,3 +80,4 @@
     places: tuple[EntryPlace, ...]
     bounds: EntryBounds
     seeds: tuple[str, ...] = ()
+    limits: EntryLimits = attrs.field(factory=EntryLimits)
--- a/src/masticstage/exceptions.py
+++ b/src/masticstage/exceptions.py
@@ -343,6 +343,14 @@
     reason: str
 
 
+@attrs.define(eq=False)
+class MalformedBodyError(MasticstageError):
+    """The body of a request is not in valid chunks."""
+
+    code = 'body-malformed'
+    reason: str
+
+
 @attrs.frozen
 class Fault:
     """One fault in a file: where it is and what was expected there."""
--- a/tests/edges/test_http_server.py
+++ b/tests/edges/test_http_server.py
@@ -11,6 +11,7 @@
 from masticstage.clock import SystemClock
 from masticstage.edges.byte_stream import ByteStream
 from masticstage.edges.http_server import ServerConnection
+from masticstage.edges.memory_budget import MemoryBudget
 from masticstage.forwarding.routes import CallerLimits
 from tests.edges.deployment import run_with_timeout
 
@@ -41,7 +42,7 @@
 
 
 @asynccontextmanager
-async def _serving(must_close=False):
+async def _serving(must_close=False, budget=None):
     server = _Server()
 
     async def handle_connection(stream):
@@ -50,6 +51,7 @@
             SystemClock(),
             lambda: _LIMITS,
             lambda: must_close,
+            (budget or MemoryBudget(100_000)).open(),
         )
         await connection.serve(server.respond)
 
@@ -143,6 +145,45 @@
         assert [raw.body for raw in server.requests] == [b'0', b'1', b'2']
 
 
+@pytest.mark.parametrize(
+    'fields',
+    [
+        b'\r\n',
+        b'Content-Length: 1\r\n\r\nx',
+        b'Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n',
+    ],
+    ids=['none', 'sized', 'chunked'],
+)
+def test_requests_that_arrive_together_are_answered_in_turn(fields):
+    """Guards against bytes of the next request that a body takes or loses."""
+
+    @run_with_timeout
+    async def check():
+        async with _serving() as (server, stream):
+            await stream.send_all((_HEAD + fields) * 3)
+            received = b''
+            while received.count(b'fine') < 3:
+                received += await stream.receive_some()
+            assert len(server.requests) == 3
+
+    check()
+
+
+@run_with_timeout
+async def test_a_body_that_does_not_fit_is_refused_as_not_run():
+    """Guards against handling for which there is no memory."""
+    budget = MemoryBudget(1000)
+    async with _serving(budget=budget) as (server, stream):
+        await stream.send_all(
+            _HEAD + b'Content-Length: 900\r\n\r\n' + b'x' * 900
+        )
+        answer = await _read(stream)
+        assert answer.startswith(b'HTTP/1.1 503')
+        assert b'Retry-After: 1' in answer
+        assert not server.requests
+    assert not budget.total_bytes
+
+
 @run_with_timeout
 async def test_pipelined_requests_are_answered_in_order():
     async with _serving() as (server, stream):
