--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -61,23 +61,28 @@
     """Bytes of the bodies that are being read whole."""
 
     total_bytes: int = 0
+    max_bytes: int = attrs.field(factory=lambda: _MAX_HELD_BYTES)
+
+    @classmethod
+    def within(cls, max_bytes: int) -> 'HeldBodies':
+        """Returns the count of an instance with less memory than usual."""
+        return cls(0, min(_MAX_HELD_BYTES, max_bytes))
 
     @contextmanager
-    def count(self) -> Iterator[list[bytes]]:
-        """Yields a list for the chunks of one body, and forgets it after."""
-        chunks: list[bytes] = []
+    def count(self) -> Iterator[bytearray]:
+        """Yields an array for the bytes of one body, and forgets it after."""
+        body = bytearray()
         try:
-            yield chunks
+            yield body
         finally:
-            self.total_bytes -= sum(map(len, chunks))
+            self.total_bytes -= len(body)
 
-    def add(self, chunks: list[bytes], chunk: bytes) -> bool:
+    def add(self, body: bytearray, chunk: bytes) -> bool:
         """Adds a chunk to a body; False if too much would be held."""
         self.total_bytes += len(chunk)
-        chunks.append(chunk)
+        body += chunk
         return (
-            self.total_bytes <= _MAX_HELD_BYTES
-            and sum(map(len, chunks)) <= _MAX_BODY_BYTES
+            self.total_bytes <= self.max_bytes and len(body) <= _MAX_BODY_BYTES
         )
 
 
@@ -96,6 +101,7 @@
     _requests: int = 0
     _refused_ids: set[str] = attrs.field(factory=set)
     _is_unusable: bool = False
+    _has_write_failed: bool = False
     _read_bytes: int = READ_BYTES
 
     @property
@@ -172,12 +178,12 @@
 
     async def read_body(self) -> bytes:
         """Reads the body to its end."""
-        with self._held.count() as chunks:
+        with self._held.count() as body:
             while True:
                 chunk = await self.read_chunk()
                 if not chunk:
-                    return b''.join(chunks)
-                if not self._held.add(chunks, chunk):
+                    return bytes(body)
+                if not self._held.add(body, chunk):
                     raise self._broken_connection('body without end')
 
     def prepare_reuse(self) -> bool:
@@ -218,8 +224,9 @@
         try:
             await self._stream.send(payload)
         except _CONNECTION_ERRORS:
-            # Reading the answer fails as well and reports the error.
+            # The kernel reports a reset once; reading may find an orderly end.
             self._is_unusable = True
+            self._has_write_failed = True
         else:
             self._pending_writes -= 1
 
@@ -230,12 +237,18 @@
             if received:
                 answer.feed(received)
             else:
-                answer.feed_end()
+                self._feed_end(answer)
         except _CONNECTION_ERRORS as error:
             raise self._broken_connection(type(error).__name__) from error
         except MalformedAnswerError as error:
             raise self._broken_connection(error.reason) from error
 
+    def _feed_end(self, answer: AnswerParser) -> None:
+        """Ends an answer, unless the connection was reset."""
+        if self._has_write_failed:
+            raise MalformedAnswerError('reset while the request was written')
+        answer.feed_end()
+
     def _broken_connection(self, reason: str) -> BrokenConnectionError:
         """Marks the connection as unusable; returns the error to raise."""
         self._is_unusable = True
