Record prefixes of engines that a health check met first

Cause: the tick that starts health checks asks for the state of each upstream of its region without its memory. The state began with a cache of no capacity and kept it, so prefixes at engines of the own region were never recorded where a tick came before the first choice. Change: the cache gets its capacity once the memory is known.

--- a/src/masticstage/forwarding/loads.py
+++ b/src/masticstage/forwarding/loads.py
@@ -146,6 +146,9 @@
                 PromptCache.of_memory(memory_tokens),
             )
             self._states[name] = state
+        elif memory_tokens and not state.cache.has_memory:
+            # A health check may ask for the state first, without the memory.
+            state.cache = PromptCache.of_memory(memory_tokens)
         return state
 
     def upstream_names(self) -> tuple[str, ...]:
--- a/src/masticstage/forwarding/prompts.py
+++ b/src/masticstage/forwarding/prompts.py
@@ -27,6 +27,11 @@
         """Returns the cache of an engine with this memory, in tokens."""
         return cls(tokens * _CACHE_SHARE)
 
+    @property
+    def has_memory(self) -> bool:
+        """Whether anything can be cached; not before the memory is known."""
+        return self._capacity > 0
+
     def uncached_tokens(self, prompt: Prompt) -> int:
         """Returns the tokens to prefill: all after the first missing part."""
         cached = 0
--- a/tests/forwarding/test_loads.py
+++ b/tests/forwarding/test_loads.py
@@ -2,7 +2,7 @@
 
 from masticstage.clock import ManualClock
 from masticstage.forwarding.loads import LoadTable, ReportedLoad, SharedLoad
-from tests.forwarding_builders import SECOND
+from tests.forwarding_builders import SECOND, build_prompt
 
 
 def _build_table():
@@ -54,6 +54,19 @@
     assert not table.outcomes(table.state('u-1', 2)).failed
 
 
+def test_a_state_that_began_without_its_memory_caches_prefixes():
+    # Guards against engines that a health check met first, and whose prefixes
+    # were never recorded.
+    loads = LoadTable(ManualClock())
+    loads.state('e1', 1)
+    prompt = build_prompt()
+
+    loads.state('e1', 1, memory_tokens=360_000).cache.record_prefill(prompt)
+
+    cache = loads.state('e1', 1).cache
+    assert cache.uncached_tokens(prompt) == prompt.own_tokens
+
+
 def test_relayed_requests_are_not_counted_twice():
     _, table, state = _build_table()
     state.relayed.in_flight = 4
