--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -111,11 +111,7 @@
             case RouteTable():
                 return self._apply_table(published)
             case UpstreamRecord():
-                self.removals.ended.forget(published)
-                until = self._clock.elapsed() + published.cold_for
-                self._upstreams[key] = KnownUpstream(published, until)
-                state = 'leaving' if published.is_leaving else 'ready'
-                return f'upstream {published.name} {state}'
+                return self._apply_upstream(key, published)
             case Evacuation():
                 self._evacuations[key] = published
                 return f'evacuation of {published.data_centre}'
