Tell starts of upstreams without the time of day

Cause: an upstream counted as new by its start time against the own time of day, which steps; test_no_decision_reads_the_time_of_day[forwarding] failed. Change: new is what a view of 10 s or more did not know, or what has another start than before. A record that was only removed for a while is not new.

--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from masticstage.clock import Clock, to_milliseconds
+from masticstage.clock import Clock
 from masticstage.forwarding.published import (
     Evacuation,
     Published,
@@ -20,8 +20,9 @@
 
 #: Time after which a leaving upstream gets nothing, unless settings name one.
 _REMOVAL_TIME: Final = timedelta(seconds=3)
-#: Age up to which an upstream has just started, on the clocks of two machines.
-_NEW_FOR_MS: Final = 10_000
+#: Age of this view from which an upstream that it did not know has just
+#: started. Before that, all are unknown.
+_SETTLED_AFTER: Final = timedelta(seconds=10)
 
 
 @attrs.define
@@ -73,9 +74,11 @@
     removals: Removals = attrs.field(init=False)
     _notices: UpstreamNotices = attrs.field(init=False)
     _kept_lists: _ServiceLists | None = None
+    _began_at: timedelta = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Starts without notices of upstreams and without removals."""
+        self._began_at = self._clock.elapsed()
         self.removals = Removals(self._clock)
         self._notices = UpstreamNotices(self._clock, self._removal_time)
 
@@ -274,13 +277,21 @@
         return f'version {table.version} in force{note}'
 
     def _apply_upstream(self, key: str, record: UpstreamRecord) -> str:
+        now = self._clock.elapsed()
+        known = self._upstreams.get(key)
+        # The time of day of two machines may differ, so that the time of the
+        # start only tells one start from another.
+        is_new = (
+            now - self._began_at >= _SETTLED_AFTER
+            and not self.removals.ended.includes(record)
+            if known is None
+            else known.record.started_at_ms != record.started_at_ms
+        )
         self.removals.ended.forget(record)
-        until = self._clock.elapsed() + record.cold_for
-        now_ms = to_milliseconds(self._clock.now())
         self._upstreams[key] = KnownUpstream(
             record,
-            until,
-            _awaits_pace(self._upstreams.get(key), record, now_ms),
+            now + record.cold_for,
+            _awaits_pace(known, record, is_new=is_new),
         )
         state = 'leaving' if record.is_leaving else 'ready'
         return f'upstream {record.name} {state}'
@@ -314,18 +325,13 @@
 
 
 def _awaits_pace(
-    known: KnownUpstream | None, record: UpstreamRecord, now_ms: int
+    known: KnownUpstream | None, record: UpstreamRecord, *, is_new: bool
 ) -> bool:
-    """Returns whether an upstream is cold or has just started.
-
-    An upstream may be new to this instance only, if that has started itself.
-    """
-    started_at_ms = record.started_at_ms
-    if known is not None and known.record.started_at_ms == started_at_ms:
-        is_cold_again = record.cold_for and not known.record.cold_for
-        return known.awaits_pace or bool(is_cold_again)
-    age_ms = abs(now_ms - started_at_ms)
-    return bool(record.cold_for) or age_ms < _NEW_FOR_MS
+    """Returns whether an upstream is cold or has just started."""
+    if known is None or is_new:
+        return bool(record.cold_for) or (is_new and bool(record.started_at_ms))
+    is_cold_again = record.cold_for and not known.record.cold_for
+    return known.awaits_pace or bool(is_cold_again)
 
 
 def _keep_warm(copied: KnownUpstream, known: KnownUpstream | None) -> None:
