End pauses of the quota model at times its clock can reach

The model's clock counts whole microseconds, but the end of a pause was a sum of floats. The keeper and the balances were not involved: no request was decided in that time.

The end of a pause is now computed with the resolution of the clock.

--- a/tests/forwarding/test_quotas.py
+++ b/tests/forwarding/test_quotas.py
@@ -48,6 +48,15 @@
     assert max(excess_of(play_day(seed, 31)) for seed in range(6)) > 0
 
 
+def test_the_model_ends_a_pause_at_a_time_that_its_clock_can_reach():
+    """Guards the model: its clock stood still before the end of a pause."""
+    model = QuotaModel(1, 4, {'shop': _LARGE})
+    model.at(14.269083, lambda: model.pause(0, 10))
+    model.run(14.3)
+    resumes_s = model.instances[0].resumes_s
+    assert timedelta(seconds=resumes_s).total_seconds() == resumes_s
+
+
 @pytest.mark.parametrize('size', SIZES)
 @pytest.mark.parametrize(
     ('limit', 'draw', 'mean'),
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -205,11 +205,12 @@
             self.at(self.now_s + restart_s, lambda: self._restart(instance))
 
     def pause(self, number: int, length_s: float) -> None:
-        self.instances[number].resumes_s = self.now_s + length_s
+        # A sum of floats may lie beyond the clock's nearest microsecond.
+        resumes = self.clock.elapsed() + timedelta(seconds=length_s)
+        resumes_s = resumes.total_seconds()
+        self.instances[number].resumes_s = resumes_s
         self._spread(number, is_live=False)
-        self.at(
-            self.now_s + length_s, lambda: self._spread(number, is_live=True)
-        )
+        self.at(resumes_s, lambda: self._spread(number, is_live=True))
 
     def cut(self, region: int, length_s: float) -> None:
         """Cuts a region off from the others for a time."""
