--- a/src/masticstage/forwarding/quotas/balances.py
+++ b/src/masticstage/forwarding/quotas/balances.py
@@ -210,7 +210,8 @@
         """Refuses requests of at least a size without asking, for a moment."""
         balance.short_tokens = tokens
         balance.short_until_s = now_s + wait_s
-        balance.recheck_s = now_s + min(wait_s, _ASK_INTERVAL_S)
+        recheck_s = max(_LEAST_WAIT_S, min(wait_s, _ASK_INTERVAL_S))
+        balance.recheck_s = now_s + recheck_s
 
     def _now_s(self) -> float:
         return self._clock.elapsed().total_seconds()
