--- a/src/masticstage/forwarding/pacer.py
+++ b/src/masticstage/forwarding/pacer.py
@@ -18,6 +18,10 @@
 #: request to an upstream that has none in flight (s): the counts of the others
 #: have arrived by then.
 _COUNTS_KNOWN_S: Final = 1.5
+#: Direct candidates that have to be left when those at their limit are dropped.
+#: With fewer, one is a large part of the capacity, and what it is spared makes
+#: the others late.
+_MIN_LEFT: Final = 3
 
 
 @attrs.frozen
@@ -54,8 +58,8 @@
     ) -> Sequence[Candidate]:
         """Returns the candidates without those at their limit.
 
-        All are returned if no direct one would be left, so that no request is
-        refused or sent to another region for it.
+        All are returned if too few direct ones would be left to take what they
+        would have got; so no request is refused or sent to another region.
         """
         for candidate in candidates:
             if candidate.known_upstream.awaits_pace:
@@ -67,8 +71,8 @@
             for candidate in candidates
             if candidate.via is not None or not self._is_at_limit(candidate)
         ]
-        has_direct = any(candidate.via is None for candidate in usable)
-        return usable if has_direct else candidates
+        direct = sum(candidate.via is None for candidate in usable)
+        return usable if direct >= _MIN_LEFT else candidates
 
     def record_outcome(
         self, choice: Choice, route: Route, evidence: Evidence, took_s: float
