--- a/review/6/case.py
+++ b/review/6/case.py
@@ -105,7 +105,12 @@
                 await self.fleet.processes[name].wait()
                 await asyncio.sleep(BACK_AFTER_S)
                 await self.fleet.start_replica(
-                    name, 'model', region, ports[name], deadly=DEADLY
+                    name,
+                    'model',
+                    region,
+                    ports[name],
+                    deadly=DEADLY,
+                    cold_ms=d.COLD_MS,
                 )
 
         await asyncio.gather(*(keep(*entry) for entry in REPLICAS.items()))
@@ -178,18 +183,21 @@
         fleet.record.say('the sound requests go on')
         # The rule counts from twice ContactMs after the fifth crash.
         await case.send_sound(round(2 * CONTACT_S / PERIOD_S) + 1)
+        counted_from = time.time()
         during = await case.send_sound(COUNTED)
         await asyncio.sleep(2)
         if not all(fleet.is_running(f'front-{one}') for one in fleet.machines):
             return 2
-        return judge(case, before, during)
+        return judge(case, before, during, counted_from)
     finally:
         for helper in helpers:
             helper.cancel()
         await fleet.stop()
 
 
-def judge(case: Case, before: set[str], during: set[str]) -> int:
+def judge(
+    case: Case, before: set[str], during: set[str], counted_from: float
+) -> int:
     """Applies LOST, and BUDGET of the same page."""
     say, crashes = case.fleet.record.say, case.crashes()
     begun = case.runs('ok')
@@ -202,6 +210,9 @@
     if TROUBLE and len(crashes) < COUNTED_CRASHES:
         say('fewer than five crashes')
         return 2
+    if TROUBLE and counted_from < crashes[4] + 2 * CONTACT_S:
+        say('the fifth crash came too late for the count')
+        return 2
     late = set()
     if TROUBLE:
         late = case.runs('bad', crashes[COUNTED_CRASHES - 1] + CONTACT_S)
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -37,6 +37,8 @@
 _LISTENERS = ('callers', 'readiness', 'peers', 'entries', 'metrics', 'gossip')
 _READY_S = 30
 _CASE_S = 112
+#: Warm-up of a replica that starts during traffic, as `WarmupS` says.
+COLD_MS = 3000
 _MS = 1000
 #: Bounds of the small sites.
 BOUNDS = {
@@ -174,7 +176,7 @@
                 'Version': '1',
                 'Slots': 64,
                 'State': 'ready',
-                'WarmupLeftMs': 0,
+                'WarmupLeftMs': options.get('cold_ms', 0),
                 'Sequence': 1,
                 'born': round(time.time() * _MS),
             },
@@ -337,6 +339,7 @@
                 'Name': 'model',
                 'HealthPath': '/health',
                 'MaxConnections': 370,
+                'WarmupS': 3.0,
                 'WarmupPerS': 3.5,
                 'Engine': {'Slots': 64, 'KvCapacity': 360066},
             },
--- a/review/harness/replica.py
+++ b/review/harness/replica.py
@@ -10,7 +10,8 @@
 Options: events, first_ms, pause_ms (of a stream), work_ms (of a plain call),
 deadly (id of a prompt part: the process kills itself as soon as it has begun
 to write an answer to a request that has the part), dying_ms (how long that takes: until
-then its connections break and its health path says that it fails).
+then its connections break and its health path says that it fails), cold_ms (how
+long it says that it is cold).
 """
 
 import asyncio
@@ -43,6 +44,7 @@
         self.work_ms = int(options.get('work_ms', '20'))
         self.deadly = options.get('deadly', '')
         self.dying_ms = int(options.get('dying_ms', '0'))
+        self.cold_until = time.time() * _MS + int(options.get('cold_ms', '0'))
         self.running = 0
         self.is_dying = False
         self._open: set[asyncio.StreamWriter] = set()
@@ -75,7 +77,11 @@
         body = await reader.readexactly(int(fields.get('content-length', '0')))
         if target == '/health':
             status = 503 if self.is_dying else 200
-            self._answer(writer, status, (('X-Instance-Id', self.name),), b'')
+            named = [('X-Instance-Id', self.name)]
+            cold_ms = round(self.cold_until - time.time() * _MS)
+            if cold_ms > 0:
+                named.append(('X-Warmup-Ms', str(cold_ms)))
+            self._answer(writer, status, tuple(named), b'')
             await writer.drain()
             return True
         if self.is_dying:
@@ -112,11 +118,12 @@
             return False
         work.result()
         note('end', request=request)
-        # The connection ends with the answer, as a read may hang on it.
         closed.cancel()
         with suppress(asyncio.CancelledError, ConnectionError):
+            # A byte or the end came before the answer was read: no reuse.
             await closed
-        return False
+            return False
+        return True
 
     async def _run(
         self,
@@ -130,7 +137,6 @@
             ('X-Request-Id', request),
             ('X-Response-Signature', f'{self.name}.{request}'),
             ('X-Server-Load', f'{self.running},0,64'),
-            ('Connection', 'close'),
         )
         left_s = float(fields.get('x-deadline-ms', '60000')) / _MS
         is_stream = 'x-token-counts' in fields
