--- a/tests/edges/crowds.py
+++ b/tests/edges/crowds.py
@@ -12,6 +12,7 @@
 import trio
 
 from bench.platform_fleet import HOST, PlatformFleet, running_platform
+from tests.edges.process_memory import Peak, watch_process
 
 #: Limits in the settings of the instances, and the bounds that are checked.
 MEMORY_MB = 112
@@ -23,7 +24,16 @@
 _ANSWER_TIMEOUT_S = 30
 _TEST_TIMEOUT_S = 90
 _ERRORS = (OSError, trio.BrokenResourceError)
-_NO_LINGER = struct.pack('ii', 1, 0)
+NO_LINGER = struct.pack('ii', 1, 0)
+
+
+#: Limits of the smallest machine on the users' sheets.
+SMALLEST_MEMORY_MB = 152
+SMALLEST_DESCRIPTORS = 1535
+#: Connections that an instance with these limits admits.
+CALLERS = 384
+PEERS = 230
+OTHERS = 192
 
 
 @attrs.frozen
@@ -62,7 +72,40 @@
             await _check_process(fleet, name)
 
 
-async def _send_crowd(address: str, crowd: Crowd) -> None:
+@asynccontextmanager
+async def watched_fleet(folder: Path, instances: int = 1):
+    """Runs instances with the limits of the smallest machine, and watches them.
+
+    At the end each lives, answers an ordinary request, and has not exceeded
+    its memory, unread bytes included, or its descriptors.
+    """
+    limits = (
+        f'[limits]\nmemory_mb = {SMALLEST_MEMORY_MB}\n'
+        f'descriptors = {SMALLEST_DESCRIPTORS}'
+    )
+    peaks: dict[str, Peak] = {}
+    async with running_platform(
+        folder, instances=instances, limits=limits
+    ) as fleet:
+        async with trio.open_nursery() as nursery:
+            for name, addresses in fleet.listeners.items():
+                peaks[name] = Peak()
+                nursery.start_soon(
+                    watch_process,
+                    fleet.processes[name],
+                    frozenset(addresses.values()),
+                    peaks[name],
+                )
+            yield fleet
+            nursery.cancel_scope.cancel()
+        for name, peak in peaks.items():
+            highest_kb = await check_answers(fleet, name)
+            memory_bytes = max(peak.memory_bytes, highest_kb * 1024)
+            assert memory_bytes < SMALLEST_MEMORY_MB * 1_000_000, peak
+            assert peak.descriptors < SMALLEST_DESCRIPTORS, peak
+
+
+async def send_crowd(address: str, crowd: Crowd) -> None:
     """Lets a crowd send to an address, then stay open."""
     sent: list[int] = []
     async with trio.open_nursery() as nursery:
@@ -79,7 +122,7 @@
     host, _, port = address.rpartition(':')
     with trio.socket.socket() as sock:
         # The kernel of the test holds no bytes of callers that have gone.
-        sock.setsockopt(SOL_SOCKET, SO_LINGER, _NO_LINGER)
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, NO_LINGER)
         with suppress(*_ERRORS), trio.move_on_after(_SENDING_S):
             await sock.connect((host, int(port)))
             stream = trio.SocketStream(sock)
@@ -106,21 +149,29 @@
     peak: dict[str, int] = {}
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch_descriptors, fleet, peak)
-        await _send_crowd(fleet.listeners[name][role], crowd)
+        await send_crowd(fleet.listeners[name][role], crowd)
         nursery.cancel_scope.cancel()
     assert max(peak.values()) < DESCRIPTORS, peak
 
 
 async def _check_process(fleet: PlatformFleet, name: str) -> None:
     """Checks that an instance lives, answers, and stayed within its memory."""
+    peak_kb = await check_answers(fleet, name)
+    assert peak_kb < MEMORY_MB * 1000, peak_kb
+
+
+async def check_answers(fleet: PlatformFleet, name: str) -> int:
+    """Checks that an instance lives and answers an ordinary request.
+
+    Returns the most memory that it has had resident, in KB.
+    """
     process = fleet.processes[name]
     assert process.poll() is None
     with trio.fail_after(_ANSWER_TIMEOUT_S):
         while not await _is_answered(fleet.listeners[name]['callers']):
             await trio.sleep(0.2)
     status = Path(f'/proc/{process.pid}/status').read_text()
-    peak_kb = int(status.partition('VmHWM:')[2].split()[0])
-    assert peak_kb < MEMORY_MB * 1000, peak_kb
+    return int(status.partition('VmHWM:')[2].split()[0])
 
 
 async def _is_answered(address: str) -> bool:
