Collect bodies in blocks, so that they leave no gaps in the heap

What callers saw: at 152 MB a process with 384 callers whose bodies stop just short of their end had 190 to 208 MB; its machine ends it, with all its requests.

Cause: each body was one byte array that grows. Hundreds that grow side by side are moved again and again, and leave gaps in the heap that no count of Python's sees: the bodies held 38 MB, the process grew by 130 to 150.

Why it works: blocks have 16 KB, whatever the chunks; what one leaves, the next fills. The body is joined once, when it is complete.

--- a/src/masticstage/edges/request_bodies.py
+++ b/src/masticstage/edges/request_bodies.py
@@ -1,8 +1,8 @@
 """Reads the body of a request, chunked or with a length, without I/O.
 
 Chunks are parsed by httptools, since h11 occupies the event loop for seconds
-with a body in chunks of one byte.  A body is held in one byte array, since a
-list of small chunks takes over forty times their bytes.
+with a body in chunks of one byte.  They are joined to blocks, since a list of
+small chunks takes over forty times their bytes.
 """
 
 import re
@@ -13,6 +13,7 @@
 import h11
 import httptools
 
+from masticstage.edges.body_buffer import BodyBuffer
 from masticstage.exceptions import MalformedBodyError
 
 #: Most bytes without any of the body: of a chunk's size or of trailers.
@@ -26,7 +27,7 @@
 class BodyReader(Protocol):
     """Takes the bytes after a head, up to the end of the body."""
 
-    body: bytearray
+    body: BodyBuffer
     is_complete: bool
 
     def feed(self, received: bytes) -> bytes:
@@ -43,7 +44,7 @@
 
     _http: h11.Connection
     _length: int
-    body: bytearray = attrs.field(factory=bytearray)
+    body: BodyBuffer = attrs.field(factory=BodyBuffer)
     is_complete: bool = False
 
     def feed(self, received: bytes) -> bytes:
@@ -55,7 +56,7 @@
             self._http.receive_data(part)
         event = self._http.next_event()
         while isinstance(event, h11.Data):
-            self.body += event.data
+            self.body.append(bytes(event.data))
             event = self._http.next_event()
         self.is_complete = isinstance(event, h11.EndOfMessage)
         return received[missing:]
@@ -66,7 +67,7 @@
 class ChunkedBody:
     """A chunked body; trailers are dropped."""
 
-    body: bytearray = attrs.field(factory=bytearray)
+    body: BodyBuffer = attrs.field(factory=BodyBuffer)
     is_complete: bool = False
     _last_bytes: bytes = b''
     _without_progress: int = 0
@@ -93,7 +94,7 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Called by the parser for each part of the body."""
-        self.body += chunk
+        self.body.append(chunk)
         self._without_progress = 0
 
     def on_message_complete(self) -> None:
--- a/src/masticstage/edges/request_reader.py
+++ b/src/masticstage/edges/request_reader.py
@@ -163,8 +163,7 @@
 
     def _finish(self, reader: BodyReader) -> bytes:
         """Returns a complete body, if its request may be handled."""
-        body = bytes(reader.body)
-        reader.body.clear()
+        body = reader.body.take()
         if self._holding.is_evicted or not self._holding.take(
             len(body) * _COPIES
         ):
