Bound what waits unread in the kernel, and the reads of many connections

What callers saw: a process with 384 callers that send on behind a request that is handled had 160 to 189 MB at 152, 70 of them unread in the kernel; with bodies of a length that is refused 182 to 232 MB, 91 to 141 unread; with all addresses crowded 209 to 249 MB.

Cause: no address bounded its receive buffer. On loopback 128 KB wait on a connection that is not read, and 4.7 MB once it has been read fast. The reads of all connections came beside it, 64 KB each while little was counted.

Change: an address sets its receive buffer before it listens, 8 KB, 16 KB for peers, so that connections have it before they are accepted. The first ones get 128 KB when they are accepted, as long as all such fit a tenth of the memory; connections to upstreams and peers too. Reads share an eighth of the budget. The budget is a fifth of the memory instead of a quarter, to leave room for both.

Why it works: the kernel counts its overhead, so that at most twice the value is filled. Measured with a sender that never stops: 12 KB with 8 KB set, 24 KB with 16 KB (test_receive_buffers).

--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from random import Random
 
 import trio
@@ -16,11 +17,12 @@
     to_milliseconds,
 )
 from masticstage.drain import Drain
+from masticstage.edges.connections import Connections
 from masticstage.edges.decision_log import DecisionLog
-from masticstage.edges.gateway import Activity, Connections, Gateway, Views
+from masticstage.edges.gateway import Activity, Gateway, Views
 from masticstage.edges.gossip_state import GossipState
 from masticstage.edges.http_client import ConnectionPool, HeldBodies
-from masticstage.edges.memory_budget import budget_bytes
+from masticstage.edges.instance_memory import InstanceMemory
 from masticstage.edges.quota_state import build_quota_state
 from masticstage.edges.reload import SettingsFile
 from masticstage.entrysettings_schema import EntrySettings
@@ -67,39 +69,52 @@
     settings = settings_file.settings
     region_of = {place.data_centre: place.region for place in settings.places}
     own = settings.instance
-    held = HeldBodies.within(budget_bytes(settings.limits.memory_mb))
-    upstream_pool = ConnectionPool(
-        clock, _UPSTREAM_CONNECT_TIMEOUT_S, _UPSTREAM_IDLE_TIMEOUT_S, held=held
-    )
-    peer_pool, gossip_pool = (
-        ConnectionPool(
-            clock, _PEER_CONNECT_TIMEOUT_S, _PEER_IDLE_TIMEOUT_S, held=held
-        )
-        for _ in range(2)
-    )
-    views = _build_views(settings, clock, upstream_pool.has_idle)
+    metrics = Metrics()
+    connections = _build_connections(settings, clock, metrics)
+    views = _build_views(settings, clock, connections.upstreams.has_idle)
     return Gateway(
         settings_file,
         clock,
         build_wire_format(region_of),
         views,
-        Connections(
-            StoreClient(settings.store.address),
-            upstream_pool,
-            peer_pool,
-            gossip_pool,
-        ),
+        connections,
         Activity(),
         GossipState(Random()),  # noqa: S311 (spreads load; not for secrets)
         Drain(),
         PauseDetector(clock, _PAUSE_THRESHOLD),
         DecisionLog(clock, own.name),
-        Metrics(),
+        metrics,
         nursery,
         build_quota_state(settings, clock, views.fleet),
     )
 
 
+def _build_connections(
+    settings: EntrySettings, clock: Clock, metrics: Metrics
+) -> Connections:
+    memory = InstanceMemory.within(
+        settings.limits.memory_mb, partial(metrics.count, 'requests_evicted')
+    )
+    held = HeldBodies.within(memory.budget.max_bytes)
+
+    def build_pool(connect_timeout_s: float, idle_s: float) -> ConnectionPool:
+        return ConnectionPool(
+            clock,
+            connect_timeout_s,
+            idle_s,
+            held=held,
+            enlarge_buffer=memory.buffers.enlarge,
+        )
+
+    return Connections(
+        StoreClient(settings.store.address),
+        build_pool(_UPSTREAM_CONNECT_TIMEOUT_S, _UPSTREAM_IDLE_TIMEOUT_S),
+        build_pool(_PEER_CONNECT_TIMEOUT_S, _PEER_IDLE_TIMEOUT_S),
+        build_pool(_PEER_CONNECT_TIMEOUT_S, _PEER_IDLE_TIMEOUT_S),
+        memory,
+    )
+
+
 def _build_views(
     settings: EntrySettings,
     clock: Clock,
--- a/src/masticstage/edges/byte_stream.py
+++ b/src/masticstage/edges/byte_stream.py
@@ -13,6 +13,8 @@
 import attrs
 import trio
 
+from masticstage.edges.callbacks import Callback, do_nothing
+
 #: Largest number of bytes that one read returns, if no less is asked for.
 READ_BYTES: Final = 65536
 #: Time without a byte taken after which a write fails, in seconds. Callers give
@@ -28,13 +30,18 @@
     """A connected, non-blocking TCP socket.
 
     Its methods raise trio.BrokenResourceError when the connection has failed
-    and trio.ClosedResourceError after `close`.
+    and trio.ClosedResourceError after `close`.  `on_close` is called once.
     """
 
     _socket: socket.socket
+    _on_close: Callback = do_nothing
 
     @classmethod
-    def take_over(cls, stream: trio.SocketStream) -> 'ByteStream':
+    def take_over(
+        cls,
+        stream: trio.SocketStream,
+        on_close: Callback = do_nothing,
+    ) -> 'ByteStream':
         """Returns a stream over the socket of another one, now unusable."""
         sock = stream.socket
         plain = socket.socket(
@@ -44,7 +51,7 @@
             fileno=sock.detach(),
         )
         plain.setblocking(False)  # noqa: FBT003
-        return cls(plain)
+        return cls(plain, on_close)
 
     async def receive(self, most: int = READ_BYTES) -> bytes:
         """Waits for at most `most` bytes; returns none at the end."""
@@ -114,6 +121,7 @@
         if self._socket.fileno() >= 0:
             trio.lowlevel.notify_closing(self._socket)
             self._socket.close()
+            self._on_close()
 
     def reset(self) -> None:
         """Closes the socket and discards what has not been sent yet."""
--- a/src/masticstage/edges/caller_input.py
+++ b/src/masticstage/edges/caller_input.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from masticstage.edges.byte_stream import READ_BYTES, ByteStream
+from masticstage.edges.byte_stream import ByteStream
 from masticstage.edges.memory_budget import Holding
 
 #: Bytes of a caller after its request that are held before reading stops.
@@ -25,7 +25,7 @@
     That task notices a disconnect while a request is handled, also behind bytes
     that have not been taken.  It holds at most `_MAX_HELD_BYTES` of them, and
     one read more; beyond that it only asks whether the caller has disconnected.
-    While a request is handled, or much memory is used, a read is small.
+    A read is small while a request is handled or many connections are open.
     """
 
     _stream: ByteStream
@@ -48,7 +48,7 @@
     async def receive_until_end(self) -> None:
         """Receives until the caller disconnects."""
         while not self.has_ended:
-            if self.held_bytes < _MAX_HELD_BYTES:
+            if self.held_bytes < min(_MAX_HELD_BYTES, self._holding.read_bytes):
                 await self._receive()
             else:
                 await self._await_room()
@@ -91,8 +91,10 @@
 
     def _read_bytes(self) -> int:
         """Returns the size of a read: large ones take less time a byte."""
-        is_large = self._handling is None and self._holding.has_ample_room
-        return READ_BYTES if is_large else _MAX_HELD_BYTES
+        largest = self._holding.read_bytes
+        return (
+            largest if self._handling is None else min(largest, _MAX_HELD_BYTES)
+        )
 
     async def _await_room(self) -> None:
         """Waits until bytes are taken; asks for the end meanwhile."""
--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -6,16 +6,16 @@
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
 from datetime import timedelta
-from typing import Any, Final, Protocol, final
+from typing import Any, Final, final
 
 import attrs
 import trio
 
 from masticstage.clock import Clock, PauseDetector
 from masticstage.drain import Drain
+from masticstage.edges.connections import Connections
 from masticstage.edges.decision_log import DecisionLog, format_failure
 from masticstage.edges.gossip_state import GossipState
-from masticstage.edges.http_client import ConnectionPool
 from masticstage.edges.pending_dispatches import PendingDispatches
 from masticstage.edges.quota_state import QuotaState
 from masticstage.edges.reload import SettingsFile
@@ -28,7 +28,7 @@
 from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.overload import OverloadControl
 from masticstage.forwarding.prefix_reports import PrefixReports
-from masticstage.forwarding.record_cache import RecordCache, RecordUpdates
+from masticstage.forwarding.record_cache import RecordCache
 from masticstage.forwarding.requests import CallKind
 from masticstage.forwarding.routes import CallerLimits
 from masticstage.forwarding.view import FleetView
@@ -40,19 +40,6 @@
 _DEFAULT_LIMITS: Final = CallerLimits()
 
 
-class Store(Protocol):
-    """Read access to the platform's records."""
-
-    async def read_all(self) -> RecordUpdates:
-        """Reads every record."""
-
-    async def watch(self, after: int, wait_s: float) -> RecordUpdates:
-        """Waits for changes after a revision."""
-
-    async def read_changes(self, after: int) -> RecordUpdates:
-        """Returns the changes after a revision at once."""
-
-
 @final
 @attrs.frozen
 class Views:
@@ -70,17 +57,6 @@
     prefix_reports: PrefixReports
 
 
-@final
-@attrs.frozen
-class Connections:
-    """Clients and connection pools for everything outside this process."""
-
-    store: Store
-    upstreams: ConnectionPool
-    peers: ConnectionPool
-    gossip: ConnectionPool
-
-
 @final
 @attrs.define
 class BrokenRequests:
--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -17,6 +17,12 @@
 from masticstage.clock import Clock
 from masticstage.edges.answer_parser import AnswerHead, AnswerParser
 from masticstage.edges.byte_stream import READ_BYTES, ByteStream
+from masticstage.edges.receive_buffers import (
+    LONG_LINK_BYTES,
+    BufferEnlargement,
+    keep_small,
+    limit_receive_buffer,
+)
 from masticstage.exceptions import (
     BrokenConnectionError,
     ConnectError,
@@ -281,13 +287,17 @@
     timeout_s: float,
     clock: Clock,
     held: HeldBodies | None = None,
+    enlarge_buffer: BufferEnlargement = keep_small,
 ) -> Connection:
     """Opens a connection to `host:port`; `held` counts the bodies of several.
 
+    `enlarge_buffer` may give it a larger receive buffer than it begins with.
     Raises ConnectError on failure; nothing has been sent then.
     """
     host, _, port = address.rpartition(':')
-    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    limit_receive_buffer(plain, LONG_LINK_BYTES)
+    sock = trio.socket.from_stdlib_socket(plain)
     try:
         with trio.fail_after(timeout_s):
             await sock.connect((host, int(port)))
@@ -305,7 +315,7 @@
     )
     return Connection(
         address,
-        ByteStream.take_over(stream),
+        ByteStream.take_over(stream, enlarge_buffer(plain)),
         clock,
         held or HeldBodies(),
     )
@@ -331,6 +341,7 @@
     _max_idle_s: float
     _idle: dict[str, list[Connection]] = attrs.field(factory=dict)
     _held: HeldBodies = attrs.field(factory=HeldBodies)
+    _enlarge_buffer: BufferEnlargement = keep_small
     opened: int = 0
 
     async def acquire(
@@ -347,7 +358,11 @@
             return connection
         self.opened += 1
         return await connect(
-            address, self._connect_timeout_s, self._clock, self._held
+            address,
+            self._connect_timeout_s,
+            self._clock,
+            self._held,
+            self._enlarge_buffer,
         )
 
     def has_idle(self, address: str) -> bool:
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -25,10 +25,10 @@
 from masticstage.edges.health_checks import start_due_checks
 from masticstage.edges.http_server import Reply, ServerConnection
 from masticstage.edges.listening import listen, serve_connections
-from masticstage.edges.memory_budget import MemoryBudget, budget_bytes
 from masticstage.edges.pacing import log_pace_changes
 from masticstage.edges.peer_server import serve_peer
 from masticstage.edges.quotas import observe_members
+from masticstage.edges.receive_buffers import LONG_LINK_BYTES, SMALL_BYTES
 from masticstage.edges.records import (
     apply_due_removals,
     refresh_records,
@@ -102,6 +102,7 @@
     respond: _RequestHandler
     limits: Callable[[], CallerLimits]
     group: ConnectionGroup
+    buffer_bytes: int = SMALL_BYTES
 
 
 def _servers(gateway: Gateway) -> tuple[_Server, ...]:
@@ -111,9 +112,7 @@
     count = gateway.metrics.count
     groups = limit_connections(
         limits.descriptors,
-        MemoryBudget(
-            budget_bytes(limits.memory_mb), partial(count, 'requests_evicted')
-        ),
+        gateway.connections.memory.budget,
         partial(count, 'connections_refused'),
     )
 
@@ -127,7 +126,13 @@
         )
 
     return (
-        _Server(listen_on.peers, serve_peer, peer_limits, groups.peers),
+        _Server(
+            listen_on.peers,
+            serve_peer,
+            peer_limits,
+            groups.peers,
+            LONG_LINK_BYTES,
+        ),
         bodiless(listen_on.readiness, answer_readiness),
         bodiless(listen_on.entries, answer_entries),
         bodiless(listen_on.metrics, answer_metrics),
@@ -144,7 +149,7 @@
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Accepts connections on an address and serves their requests."""
-    listener = listen(server.address)
+    listener = listen(server.address, server.buffer_bytes)
     task_status.started()
 
     async def handle_connection(stream: ByteStream) -> None:
@@ -169,7 +174,11 @@
 
     with listener:
         await serve_connections(
-            listener, handle_connection, log_failure, server.group.admit
+            listener,
+            handle_connection,
+            log_failure,
+            server.group.admit,
+            gateway.connections.memory.buffers.enlarge,
         )
 
 
--- a/src/masticstage/edges/listening.py
+++ b/src/masticstage/edges/listening.py
@@ -12,6 +12,12 @@
 import trio
 
 from masticstage.edges.byte_stream import ByteStream
+from masticstage.edges.receive_buffers import (
+    SMALL_BYTES,
+    BufferEnlargement,
+    keep_small,
+    limit_receive_buffer,
+)
 
 #: Length of the listen backlog, beyond which the kernel drops SYN packets.
 _BACKLOG: Final = 1024
@@ -27,13 +33,23 @@
 Admission = Callable[[ByteStream], bool]
 
 
-def listen(address: str) -> socket.socket:
+def listen(address: str, buffer_bytes: int = SMALL_BYTES) -> socket.socket:
     """Opens a listening socket on a numeric address (`host:port`).
 
-    Raises OSError if the address cannot be used.
+    Its connections begin with a receive buffer of `buffer_bytes`.  Raises
+    OSError if the address cannot be used.
     """
     host, _, port = address.rpartition(':')
-    listener = socket.create_server((host, int(port)), backlog=_BACKLOG)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Connections take it over, also those that wait to be accepted.
+        limit_receive_buffer(listener, buffer_bytes)
+        listener.bind((host, int(port)))
+        listener.listen(_BACKLOG)
+    except OSError:
+        listener.close()
+        raise
     listener.setblocking(False)  # noqa: FBT003
     return listener
 
@@ -47,18 +63,28 @@
     serve_connection: ConnectionHandler,
     log_failure: FailureLog,
     admit: Admission = _admit_all,
+    enlarge_buffer: BufferEnlargement = keep_small,
 ) -> None:
     """Accepts connections and handles each in a task of its own.
 
-    One that `admit` rejects is dropped; `admit` closes it.
+    One that `admit` rejects is dropped; `admit` closes it. `enlarge_buffer`
+    may give it a larger receive buffer than it began with.
     A failure, such as a lack of descriptors or an error of the network that
     waited on a connection, is logged, and accepting goes on after a pause.
     """
+
     async with trio.open_nursery() as nursery:
+
+        def accept(connection: socket.socket) -> None:
+            _configure(connection)
+            stream = ByteStream(connection, enlarge_buffer(connection))
+            if admit(stream):
+                nursery.start_soon(serve_connection, stream)
+
         while True:
             await trio.lowlevel.wait_readable(listener)
             try:
-                _accept_waiting(listener, nursery, serve_connection, admit)
+                _accept_waiting(listener, accept)
             except OSError as error:
                 log_failure(errno.errorcode.get(error.errno or 0, str(error)))
                 await trio.sleep(_PAUSE_S)
@@ -66,11 +92,9 @@
 
 def _accept_waiting(
     listener: socket.socket,
-    nursery: trio.Nursery,
-    serve_connection: ConnectionHandler,
-    admit: Admission,
+    accept: Callable[[socket.socket], None],
 ) -> None:
-    """Starts a task for each connection that waits, up to the batch size."""
+    """Accepts each connection that waits, up to the batch size."""
     for _ in range(_BATCH):
         try:
             connection, _ = listener.accept()
@@ -79,10 +103,7 @@
         except ConnectionAbortedError:
             # Reset by the other side before it was accepted.
             continue
-        _configure(connection)
-        stream = ByteStream(connection)
-        if admit(stream):
-            nursery.start_soon(serve_connection, stream)
+        accept(connection)
 
 
 def _configure(connection: socket.socket) -> None:
--- a/src/masticstage/edges/memory_budget.py
+++ b/src/masticstage/edges/memory_budget.py
@@ -7,12 +7,13 @@
 """
 
 import enum
-from collections.abc import Callable
 from typing import Final, final
 
 import attrs
 import trio
 
+from masticstage.edges.callbacks import Callback, do_nothing
+
 #: Time without enough new bytes after which a request counts as stopped.
 _STOPPED_S: Final = 0.5
 #: Bytes within that time that count as progress.
@@ -22,11 +23,12 @@
 _MB: Final = 1_000_000
 #: Share of an instance's memory that the budget has; the rest is for the
 #: program, its state and its connections.
-_SHARE: Final = 0.25
-
-
-def _do_nothing() -> None:
-    """Stands for a callback that is not needed."""
+_SHARE: Final = 0.2
+#: Part of the budget that the reads of all connections may take together, and
+#: the bounds of one read.
+_READS_PART: Final = 8
+_LARGEST_READ: Final = 65536
+_SMALLEST_READ: Final = 4096
 
 
 @enum.unique
@@ -49,7 +51,7 @@
     """
 
     _budget: 'MemoryBudget'
-    _evict: Callable[[], None] = _do_nothing
+    _evict: Callback = do_nothing
     phase: Phase = Phase.IDLE
     held_bytes: int = 0
     is_evicted: bool = False
@@ -58,11 +60,11 @@
     _progress_bytes: int = 0
 
     @property
-    def has_ample_room(self) -> bool:
-        """Whether connections hold less than a quarter of the budget."""
-        return self._budget.total_bytes * 4 <= self._budget.max_bytes
+    def read_bytes(self) -> int:
+        """Largest number of bytes that the connection may read at once."""
+        return self._budget.read_bytes
 
-    def on_eviction(self, evict: Callable[[], None]) -> None:
+    def on_eviction(self, evict: Callback) -> None:
         """Sets what frees the bytes of this connection."""
         self._evict = evict
 
@@ -123,7 +125,7 @@
     """The bytes that connections may hold together."""
 
     max_bytes: int
-    on_eviction: Callable[[], None] = _do_nothing
+    on_eviction: Callback = do_nothing
     total_bytes: int = 0
     _holdings: set[Holding] = attrs.field(factory=set)
 
@@ -132,6 +134,13 @@
         """Whether what is held stays within the budget."""
         return self.total_bytes <= self.max_bytes
 
+    @property
+    def read_bytes(self) -> int:
+        """Largest read of a connection, smaller the more are open."""
+        count = max(1, len(self._holdings))
+        share = self.max_bytes // _READS_PART // count
+        return max(_SMALLEST_READ, min(_LARGEST_READ, share))
+
     def open(self) -> Holding:
         """Returns the holding of a new connection."""
         holding = Holding(self)
