Count the head of a request and its fields

What callers saw: nothing yet on (115 MB); it would be seen with larger limits on heads, or beside other crowds.

Cause: a head of 16 KB may have over 3,000 fields. Each costs its strings and list entries, some hundred bytes; the budget counted bodies alone.

Change: 512 bytes for each field while a request is handled, and a head twice while it arrives, here and in the parser. A head that has been read is dropped. Bytes of a head no longer hide the progress of the body behind it.

--- a/src/masticstage/edges/memory_budget.py
+++ b/src/masticstage/edges/memory_budget.py
@@ -80,6 +80,7 @@
         if size - self._progress_bytes >= _PROGRESS_BYTES:
             self._progress_bytes = size
             self._progress_s = trio.current_time()
+        self._progress_bytes = min(self._progress_bytes, size)
         self._budget.change(size - self.held_bytes)
         self.held_bytes = size
         self._budget.make_room()
--- a/src/masticstage/edges/request_reader.py
+++ b/src/masticstage/edges/request_reader.py
@@ -21,6 +21,7 @@
     SizedBody,
 )
 from masticstage.exceptions import MalformedBodyError
+from masticstage.forwarding.requests import Headers
 from masticstage.forwarding.routes import CallerLimits
 from masticstage.forwarding.wire import RawRequest
 
@@ -33,6 +34,11 @@
 #: Copies of a body while its request is handled: the body, the request to an
 #: upstream or the message to a peer, and that message encoded.
 _COPIES: Final = 3
+#: The same for a head that arrives: here and in the parser.
+_HEAD_COPIES: Final = 2
+#: Memory of one header field of a request, however short it is: its strings,
+#: and the entries of lists that have it.
+_FIELD_BYTES: Final = 512
 #: What h11 is told in place of a chunked body that was read.
 _LAST_CHUNK: Final = b'0\r\n\r\n'
 
@@ -89,12 +95,10 @@
             reader = self._body_reader(request, limit)
             self._holding.on_eviction(partial(self._drop, reader, scope))
             body = await self._read_body(reader, limit)
+            headers = tuple(request.headers)
+            self._take_room(body, headers)
             return RawRequest(
-                request.method,
-                request.target,
-                tuple(request.headers),
-                body,
-                arrived,
+                request.method, request.target, headers, body, arrived
             )
         if self._holding.is_evicted:
             raise RefusedError(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -109,6 +113,7 @@
             event = self._next_event()
             if isinstance(event, h11.Request):
                 self._check_framing()
+                self._head = b''
                 return event
             if isinstance(event, h11.ConnectionClosed):
                 return None
@@ -124,6 +129,7 @@
         self._head = received[:split]
         self._unparsed = received[split:]
         self._http.receive_data(self._head[before:])
+        self._holding.hold(len(self._head) * _HEAD_COPIES)
 
     async def _read_body(self, reader: BodyReader, limit: int) -> bytes:
         if self._http.they_are_waiting_for_100_continue:
@@ -162,17 +168,19 @@
         return reader.is_complete
 
     def _finish(self, reader: BodyReader) -> bytes:
-        """Returns a complete body, if its request may be handled."""
+        """Returns a complete body."""
         body = reader.body.take()
-        if self._holding.is_evicted or not self._holding.take(
-            len(body) * _COPIES
-        ):
-            raise RefusedError(HTTPStatus.SERVICE_UNAVAILABLE)
         if isinstance(reader, ChunkedBody):
             self._http.receive_data(_LAST_CHUNK)
             self._next_event()
         return body
 
+    def _take_room(self, body: bytes, headers: Headers) -> None:
+        """Holds what a request takes while it is handled, if there is room."""
+        size = len(body) * _COPIES + len(headers) * _FIELD_BYTES
+        if self._holding.is_evicted or not self._holding.take(size):
+            raise RefusedError(HTTPStatus.SERVICE_UNAVAILABLE)
+
     def _drop(self, reader: BodyReader, scope: trio.CancelScope) -> None:
         """Frees the bytes of a request that is refused."""
         reader.body.clear()
