Count answers that are read whole in the common budget

Cause: answers that are read from upstreams had a budget of their own, as large as the common one. An answer that waits was held three times and counted twice. An answer that is taken steadily counted as stopped after two seconds.

Change: one budget for both; answers are collected in blocks; what has been handed to the kernel is no longer referred to while the rest waits. A part that is taken is progress.

Why it works: what is read from upstreams now makes room for itself at the cost of requests and answers that have stopped, and fails alone if there is none.

--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -95,7 +95,7 @@
     memory = InstanceMemory.within(
         settings.limits.memory_mb, partial(metrics.count, 'requests_evicted')
     )
-    held = HeldBodies.within(memory.budget.max_bytes)
+    held = HeldBodies(memory.budget)
 
     def build_pool(connect_timeout_s: float, idle_s: float) -> ConnectionPool:
         return ConnectionPool(
--- a/src/masticstage/edges/byte_stream.py
+++ b/src/masticstage/edges/byte_stream.py
@@ -65,10 +65,13 @@
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
 
-    async def send(self, payload: bytes) -> None:
+    async def send(
+        self, payload: bytes, on_part: Callback = do_nothing
+    ) -> None:
         """Writes all bytes; waits only while the socket buffer is full.
 
-        Raises trio.BrokenResourceError if the other side takes none for long.
+        `on_part` is called whenever the other side has taken some.  Raises
+        trio.BrokenResourceError if it takes none for long.
         """
         # A view, since each part that is taken would copy the rest.
         rest = memoryview(payload)
@@ -80,6 +83,7 @@
                 await trio.lowlevel.wait_writable(self._socket)
             if scope.cancelled_caught:
                 raise trio.BrokenResourceError('the other side does not read')
+            on_part()
             sent = self._send_part(rest)
             rest = rest[sent:]
 
--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -16,7 +16,9 @@
 
 from masticstage.clock import Clock
 from masticstage.edges.answer_parser import AnswerHead, AnswerParser
+from masticstage.edges.body_buffer import BodyBuffer
 from masticstage.edges.byte_stream import READ_BYTES, ByteStream
+from masticstage.edges.memory_budget import MemoryBudget
 from masticstage.edges.receive_buffers import (
     LONG_LINK_BYTES,
     BufferEnlargement,
@@ -34,8 +36,8 @@
 #: Time after which unacknowledged data closes a connection (TCP_USER_TIMEOUT):
 #: enough for some round trips between regions with one lost packet.
 _TCP_USER_TIMEOUT_MS: Final = 3000
-#: Largest body that is held whole, and the most bytes of all such bodies of a
-#: pool. Streams are passed on in parts.
+#: Largest body that is held whole, and the most bytes of all such bodies
+#: without a common budget. Streams are passed on in parts.
 _MAX_BODY_BYTES: Final = 4_194_304
 _MAX_HELD_BYTES: Final = 67_108_864
 #: Refusals after which a connection is no longer reused; it keeps their ids.
@@ -64,32 +66,32 @@
 @final
 @attrs.define(eq=False)
 class HeldBodies:
-    """Bytes of the bodies that are being read whole."""
+    """Bytes of the bodies that are being read whole, within a budget."""
 
+    _budget: MemoryBudget = attrs.field(
+        factory=lambda: MemoryBudget(_MAX_HELD_BYTES)
+    )
     total_bytes: int = 0
-    max_bytes: int = attrs.field(factory=lambda: _MAX_HELD_BYTES)
-
-    @classmethod
-    def within(cls, max_bytes: int) -> 'HeldBodies':
-        """Returns the count of an instance with less memory than usual."""
-        return cls(0, min(_MAX_HELD_BYTES, max_bytes))
 
     @contextmanager
-    def count(self) -> Iterator[bytearray]:
-        """Yields an array for the bytes of one body, and forgets it after."""
-        body = bytearray()
+    def count(self) -> Iterator[BodyBuffer]:
+        """Yields a buffer for the bytes of one body, and forgets it after."""
+        body = BodyBuffer()
         try:
             yield body
         finally:
-            self.total_bytes -= len(body)
+            self._change(-len(body))
 
-    def add(self, body: bytearray, chunk: bytes) -> bool:
+    def add(self, body: BodyBuffer, chunk: bytes) -> bool:
         """Adds a chunk to a body; False if too much would be held."""
-        self.total_bytes += len(chunk)
-        body += chunk
-        return (
-            self.total_bytes <= self.max_bytes and len(body) <= _MAX_BODY_BYTES
-        )
+        body.append(chunk)
+        self._change(len(chunk))
+        self._budget.make_room()
+        return self._budget.has_room and len(body) <= _MAX_BODY_BYTES
+
+    def _change(self, difference: int) -> None:
+        self.total_bytes += difference
+        self._budget.change(difference)
 
 
 @final
@@ -188,7 +190,7 @@
             while True:
                 chunk = await self.read_chunk()
                 if not chunk:
-                    return bytes(body)
+                    return body.join()
                 if not self._held.add(body, chunk):
                     raise self._broken_connection('body without end')
 
--- a/src/masticstage/edges/http_server.py
+++ b/src/masticstage/edges/http_server.py
@@ -48,6 +48,11 @@
     _holding: Holding
     is_started: bool = False
     _unsent: bytes = b''
+    _request_bytes: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Stores what the request holds, beside its answer."""
+        self._request_bytes = self._holding.held_bytes
 
     @property
     def held_bytes(self) -> int:
@@ -56,7 +61,8 @@
 
     def take_room(self, size: int) -> bool:
         """Counts a body that was unpacked; False if it does not fit."""
-        return self._holding.take(self._holding.held_bytes + _COPIES * size)
+        self._request_bytes += _COPIES * size
+        return self._holding.take(self._request_bytes)
 
     async def stop_if_caller_left(self) -> None:
         """Raises trio.Cancelled if the caller has ended the connection.
@@ -92,15 +98,13 @@
 
     def send_now(self, chunk: bytes) -> bool:
         """Sends a chunk; returns False if a part of it is left to `flush`."""
-        framed = self._http.send(h11.Data(data=chunk)) or b''
-        self._unsent = self._stream.send_now(framed)
+        self._unsent = self._write(h11.Data(data=chunk))
         return not self._unsent
 
     async def flush(self) -> None:
-        """Waits until the caller has taken the rest of the last chunk."""
-        rest = self._unsent
-        self._unsent = b''
-        await self._stream.send(rest)
+        """Waits until the caller has taken what is left of the last chunk."""
+        if self._unsent:
+            await self._send_slowly()
 
     async def finish(self) -> None:
         """Sends the last chunk, which marks the answer as complete."""
@@ -113,25 +117,29 @@
             framed.append((b'connection', b'close'))
         return h11.Response(status_code=status, headers=framed, reason=b'')
 
-    async def _send_events(self, *events: h11.Event) -> None:
+    def _write(self, *events: h11.Event) -> bytes:
+        """Writes what the socket buffer takes; returns the rest."""
         pieces = [self._http.send(event) for event in events]
         payload = b''.join(piece for piece in pieces if piece)
-        rest = self._stream.send_now(payload)
-        if rest:
-            await self._send_slowly(rest)
+        return self._stream.send_now(payload)
 
-    async def _send_slowly(self, rest: bytes) -> None:
+    async def _send_events(self, *events: h11.Event) -> None:
+        self._unsent = self._write(*events)
+        await self.flush()
+
+    async def _send_slowly(self) -> None:
         """Sends what the caller has not taken at once.
 
         What waits counts, and is given up if the memory is needed.
         """
-        before = self._holding.held_bytes
+        rest = self._unsent
+        self._unsent = b''
         self._holding.on_eviction(self._stream.reset)
         self._holding.enter(Phase.ANSWERING)
-        self._holding.hold(before + _COPIES * len(rest))
-        await self._stream.send(rest)
+        self._holding.hold(self._request_bytes + _COPIES * len(rest))
+        await self._stream.send(rest, self._holding.record_progress)
         self._holding.enter(Phase.HANDLING)
-        self._holding.hold(before)
+        self._holding.hold(self._request_bytes)
 
 
 RequestHandler = Callable[[RawRequest, Reply], Awaitable[None]]
--- a/src/masticstage/edges/memory_budget.py
+++ b/src/masticstage/edges/memory_budget.py
@@ -18,7 +18,7 @@
 _STOPPED_S: Final = 0.5
 #: Bytes within that time that count as progress.
 _PROGRESS_BYTES: Final = 4096
-#: Time after which an answer that the caller has not taken counts as stopped.
+#: Time without a part taken after which an answer counts as stopped.
 _UNTAKEN_S: Final = 2.0
 _MB: Final = 1_000_000
 #: Share of an instance's memory that the budget has; the rest is for the
@@ -85,6 +85,10 @@
         self.held_bytes = size
         self._budget.make_room()
 
+    def record_progress(self) -> None:
+        """Records that the caller has taken a part of its answer."""
+        self._progress_s = trio.current_time()
+
     def take(self, size: int) -> bool:
         """Holds the bytes of a request that is handled from now on.
 
@@ -111,9 +115,8 @@
 
     def has_stopped(self, now_s: float) -> bool:
         """Returns whether the caller sends or takes too little."""
-        if self.phase is Phase.ANSWERING:
-            return self.age_s(now_s) > _UNTAKEN_S
-        return now_s - self._progress_s > _STOPPED_S
+        longest_s = _UNTAKEN_S if self.phase is Phase.ANSWERING else _STOPPED_S
+        return now_s - self._progress_s > longest_s
 
     def cost(self, now_s: float) -> tuple[bool, float]:
         """Returns a key that is greatest for the first to be evicted."""
--- a/tests/edges/test_memory_budget.py
+++ b/tests/edges/test_memory_budget.py
@@ -82,6 +82,51 @@
     _run(check)
 
 
+def test_an_answer_that_is_taken_slowly_does_not_count_as_stopped():
+    """Guards against slow readers that give way before those that stopped."""
+    evicted = []
+
+    async def check():
+        budget = MemoryBudget(100_000)
+        _open(budget, Phase.ANSWERING, 30_000, evicted, 'untaken')
+        slow = _open(budget, Phase.ANSWERING, 60_000, evicted, 'slow')
+        for _ in range(3):
+            await trio.sleep(1)
+            slow.record_progress()
+        _open(budget, Phase.READING, 20_000, evicted, 'new')
+
+        assert evicted == ['untaken']
+
+    _run(check)
+
+
+def test_a_body_behind_a_long_head_counts_as_moving():
+    """Guards against requests that stop counting bytes they had before."""
+
+    async def check():
+        budget = MemoryBudget(100_000)
+        holding = _open(budget, Phase.READING, 32_000, [], 'moving')
+        for size in (4_096, 8_192, 12_288):
+            await trio.sleep(0.4)
+            holding.hold(size)
+
+        assert not holding.has_stopped(trio.current_time())
+
+    _run(check)
+
+
+@run_with_timeout
+async def test_reads_are_small_while_many_connections_are_open():
+    """Guards against large reads of many connections at the same time."""
+    budget = MemoryBudget(8_000_000)
+    first = budget.open()
+    assert first.read_bytes == 65_536
+
+    for _ in range(99):
+        budget.open()
+    assert first.read_bytes == 10_000
+
+
 @run_with_timeout
 async def test_a_connection_that_ended_holds_nothing():
     budget = MemoryBudget(100_000)
