Send an event whole that arrives at the end of the idle time

Cause: the idle timeout covered the read and the write. In a pass of the event loop that is late, the event is read first and the timeout ends after it; the write is cancelled then, and the rest of the event dropped, though it counted as sent.

Change: the timeout covers reads alone.

--- a/src/masticstage/edges/streaming.py
+++ b/src/masticstage/edges/streaming.py
@@ -111,24 +111,28 @@
     empty string when it is complete, otherwise the reason why it broke.
     """
     events_before = -1
-    with trio.CancelScope() as scope:
-        while True:
-            if framer.event_count != events_before:
-                events_before = framer.event_count
-                _expire_after(scope, idle_policy.idle_timeout())
+    idle_at_s = inf
+    while True:
+        if framer.event_count != events_before:
+            events_before = framer.event_count
+            idle_at_s = _time_after(idle_policy.idle_timeout())
+        # The timeout covers reads alone: a write must not end halfway.
+        with trio.CancelScope(deadline=idle_at_s) as scope:
             try:
                 chunk = await connection.read_chunk()
-                events = framer.feed(chunk)
             except _STREAM_ERRORS as error:
                 return error.reason
-            if events and not _send_at_once(events, reply, idle_policy):
-                # The caller is slow. The write must not end halfway.
-                scope.deadline = inf
-                await reply.flush()
-                events_before = -1
-            if not chunk:
-                return _ending_of(framer)
-    return None
+        if scope.cancelled_caught:
+            return None
+        try:
+            is_taken = _send_at_once(framer.feed(chunk), reply, idle_policy)
+        except _STREAM_ERRORS as error:
+            return error.reason
+        if not is_taken:
+            await reply.flush()
+            events_before = -1
+        if not chunk:
+            return _ending_of(framer)
 
 
 def _ending_of(framer: EventFramer) -> str:
@@ -137,12 +141,14 @@
 
 def _send_at_once(events: bytes, reply: Reply, idle_policy: IdlePolicy) -> bool:
     """Sends events; returns False if a part of them is left to flush."""
+    if not events:
+        return True
     idle_policy.on_events()
     return reply.send_now(events)
 
 
-def _expire_after(scope: trio.CancelScope, timeout: timedelta) -> None:
-    scope.deadline = trio.current_time() + max(0, timeout.total_seconds())
+def _time_after(timeout: timedelta) -> float:
+    return trio.current_time() + max(0, timeout.total_seconds())
 
 
 async def is_reachable(gateway: Gateway, choice: Choice) -> bool:
--- a/tests/edges/test_streaming.py
+++ b/tests/edges/test_streaming.py
@@ -1,5 +1,7 @@
 """Tests of forwarding a stream: the times of its events, idle streams."""
 
+import socket
+import time
 from datetime import timedelta
 from itertools import count
 
@@ -58,6 +60,9 @@
         self.received += events
         return not self._is_slow
 
+    def hold_partial(self, size):
+        """Counts nothing, as there is no bound."""
+
     async def flush(self):
         await trio.sleep(0.15)
 
@@ -100,3 +105,59 @@
 
     assert _forward([*events, b''], 0.06, caller) == ['']
     assert caller.received == b''.join(events)
+
+
+class _Socket:
+    """An upstream whose bytes arrive at a socket."""
+
+    def __init__(self, receiver):
+        self._receiver = receiver
+
+    async def read_chunk(self):
+        await trio.lowlevel.wait_readable(self._receiver)
+        return self._receiver.recv(1000)
+
+
+class _Flushed(_Caller):
+    """Notes whether it could take all that was left of a chunk."""
+
+    def __init__(self):
+        super().__init__(is_slow=True)
+        self.flushes = 0
+
+    async def flush(self):
+        await trio.lowlevel.checkpoint()
+        self.flushes += 1
+
+
+@run_with_timeout
+async def test_an_event_at_the_end_of_the_idle_time_is_sent_whole():
+    """Guards against a stream that goes on behind a gap.
+
+    The event arrives while the event loop is late, so that it is read in the
+    pass in which the stream counts as idle.
+    """
+    sender, receiver = socket.socketpair()
+    caller = _Flushed()
+
+    async def be_late():
+        await trio.sleep(0.05)
+        sender.send(b'id: 1\ndata: x\n\n')
+        time.sleep(0.1)
+
+    async def may_not_continue():
+        return False
+
+    with sender, receiver:
+        outcome = DispatchOutcome(
+            Evidence.ANSWERED, 'e-1', connection=_Socket(receiver)
+        )
+        policy = IdlePolicy(
+            lambda: milliseconds(100), may_not_continue, lambda: None
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(be_late)
+            await _forward_events(outcome, EventFramer(), caller, policy)
+
+    assert caller.received == b'id: 1\ndata: x\n\n'
+    assert caller.flushes == 1
