Count events that wait for slow readers

Cause: the rest of an event that a caller has not taken was not counted, nor the part of an event that has arrived. The first event was held until the end of its stream, besides what was sent of it.

Change: the rest of an event counts and may be given up like the rest of an answer. A part of an event counts from 16 KB on; a stream whose part does not fit is reset. The first event is dropped when it has been sent.

Why it works: streams that are not taken give way, those that stopped first, and no stream holds more than its own part beside them.

--- a/src/masticstage/edges/dispatch_outcome.py
+++ b/src/masticstage/edges/dispatch_outcome.py
@@ -71,6 +71,12 @@
     pool: ConnectionPool | None = None
     basis: AnswerBasis | None = None
 
+    def take_body(self) -> bytes:
+        """Returns the body; it is not held any longer."""
+        body = self.body
+        self.body = b''
+        return body
+
     def close(self) -> None:
         """Closes an open stream, which cancels the upstream's work on it."""
         if self.connection is not None:
--- a/src/masticstage/edges/http_server.py
+++ b/src/masticstage/edges/http_server.py
@@ -29,6 +29,8 @@
 #: Copies of a body that was unpacked, or of an answer that waits for its
 #: caller: the body, and what is sent with it.
 _COPIES: Final = 2
+#: Part of an event from which on it counts.
+_LONG_EVENT_BYTES: Final = 16384
 #: Bytes that connections without a common budget may hold.
 _OWN_BUDGET_BYTES: Final = 67_108_864
 
@@ -48,6 +50,7 @@
     _holding: Holding
     is_started: bool = False
     _unsent: bytes = b''
+    _partial_bytes: int = 0
     _request_bytes: int = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -64,6 +67,21 @@
         self._request_bytes += _COPIES * size
         return self._holding.take(self._request_bytes)
 
+    def hold_partial(self, size: int) -> None:
+        """Counts a part of a long event, which waits for the rest of it.
+
+        Raises trio.BrokenResourceError if it does not fit; the connection is
+        reset then.
+        """
+        counted = size if size >= _LONG_EVENT_BYTES else 0
+        if counted == self._partial_bytes:
+            return
+        self._partial_bytes = counted
+        self._holding.hold(self._request_bytes + counted)
+        if not self._holding.has_room:
+            self._stream.reset()
+            raise trio.BrokenResourceError('the memory is used up')
+
     async def stop_if_caller_left(self) -> None:
         """Raises trio.Cancelled if the caller has ended the connection.
 
--- a/src/masticstage/edges/memory_budget.py
+++ b/src/masticstage/edges/memory_budget.py
@@ -64,6 +64,11 @@
         """Largest number of bytes that the connection may read at once."""
         return self._budget.read_bytes
 
+    @property
+    def has_room(self) -> bool:
+        """Whether what all connections hold stays within the budget."""
+        return self._budget.has_room
+
     def on_eviction(self, evict: Callback) -> None:
         """Sets what frees the bytes of this connection."""
         self._evict = evict
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -253,7 +253,7 @@
     if outcome.connection is None:
         await reply.send_complete(outcome.head.status, headers, outcome.body)
         return
-    await reply.start(outcome.head.status, headers, outcome.body)
+    await reply.start(outcome.head.status, headers, outcome.take_body())
     reason = await forward_stream(
         gateway, routed, choice, outcome, framer, reply, idle_policy
     )
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -204,12 +204,12 @@
     idle_policy = _idle_policy(context, choice)
     idle_policy.on_events()
     if reply.is_started:
-        await reply.send(outcome.body)
+        await reply.send(outcome.take_body())
     else:
         await reply.start(
             outcome.head.status,
             outcome.head.headers,
-            outcome.body,
+            outcome.take_body(),
         )
     reason = await forward_stream(
         context.gateway,
--- a/src/masticstage/edges/streaming.py
+++ b/src/masticstage/edges/streaming.py
@@ -128,6 +128,7 @@
             is_taken = _send_at_once(framer.feed(chunk), reply, idle_policy)
         except _STREAM_ERRORS as error:
             return error.reason
+        reply.hold_partial(framer.partial_bytes)
         if not is_taken:
             await reply.flush()
             events_before = -1
--- a/src/masticstage/forwarding/events.py
+++ b/src/masticstage/forwarding/events.py
@@ -35,6 +35,11 @@
         """Whether an incomplete event is buffered."""
         return bool(self._tail)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Length of the incomplete event that is buffered."""
+        return len(self._tail)
+
     def feed(self, chunk: bytes) -> bytes:
         """Adds bytes; returns the events completed by them.
 
