Do not end a stream while its caller reads it

What callers saw: one caller, alone, who took an event of 200 KB at 40 KB/s was cut off behind it with "idle timeout", and its upstream was suspected.

Cause: the limit of the route went on while the caller read. After the event no time was left, so that the stream counted as idle at once, although its next event had arrived.

Change: the time for which a caller has not taken what there was does not count towards the end of its stream. The time left that upstreams are told is unchanged, and so is the end of a planned stop.

--- a/src/masticstage/edges/http_server.py
+++ b/src/masticstage/edges/http_server.py
@@ -41,6 +41,7 @@
     """The answer to one request, sent at once or as a chunked stream.
 
     A stream is sent with `start`, any number of `send`, and `finish`.
+    `waited_s` is the time for which the caller took less than there was.
     """
 
     _http: h11.Connection
@@ -49,6 +50,7 @@
     _must_close: Callable[[], bool]
     _holding: Holding
     is_started: bool = False
+    waited_s: float = 0
     _unsent: bytes = b''
     _partial_bytes: int = 0
     _request_bytes: int = attrs.field(init=False)
@@ -152,12 +154,14 @@
         """
         rest = self._unsent
         self._unsent = b''
+        started_s = trio.current_time()
         self._holding.on_eviction(self._stream.reset)
         self._holding.enter(Phase.ANSWERING)
         self._holding.hold(self._request_bytes + _COPIES * len(rest))
         await self._stream.send(rest, self._holding.record_progress)
         self._holding.enter(Phase.HANDLING)
         self._holding.hold(self._request_bytes)
+        self.waited_s += trio.current_time() - started_s
 
 
 RequestHandler = Callable[[RawRequest, Reply], Awaitable[None]]
--- a/src/masticstage/edges/request_context.py
+++ b/src/masticstage/edges/request_context.py
@@ -46,6 +46,19 @@
 
         Limits are those of the caller, of the route and of a planned stop.
         """
+        return self._remaining_until(self.deadline)
+
+    @property
+    def stream_remaining(self) -> timedelta:
+        """Time left for a stream that has begun.
+
+        The time for which the caller has not taken what there was does not
+        count.
+        """
+        waited = timedelta(seconds=self.reply.waited_s)
+        return self._remaining_until(self.deadline + waited)
+
+    def _remaining_until(self, deadline: timedelta) -> timedelta:
         ends_at = self.gateway.requests_end_at()
-        deadline = min(self.deadline, ends_at) if ends_at else self.deadline
-        return deadline - self.gateway.clock.elapsed()
+        earliest = min(deadline, ends_at) if ends_at else deadline
+        return earliest - self.gateway.clock.elapsed()
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -244,7 +244,7 @@
     """Keeps an idle stream open while time is left and its upstream is up."""
 
     async def may_continue() -> bool:
-        if context.remaining <= timedelta():
+        if context.stream_remaining <= timedelta():
             return False
         return await is_reachable(context.gateway, choice)
 
@@ -252,7 +252,7 @@
         lambda: stream_idle_timeout(
             context.routed.route,
             context.history,
-            context.remaining,
+            context.stream_remaining,
         ),
         may_continue,
         lambda: context.times.record(context.gateway.clock.elapsed()),
