Admit no more connections than the memory has room for

What callers saw: nothing; a guard where descriptors are many. A process without a limit on descriptors in its settings took that of the process: on a machine of 152 MB up to 34,000 connections, each with 13 KB before it sends a byte.

Cause: connections were bounded by descriptors alone.

Change: all connections together, at 32 KB each, fit two fifths of the memory.

Why it holds for callers inside the limits: on the machines of the users' sheets (152 MB with 1,535 descriptors up to 552 MB with 11,275) the descriptors stay the smaller bound, which the new test states.

--- a/src/masticstage/edges/connection_limits.py
+++ b/src/masticstage/edges/connection_limits.py
@@ -16,6 +16,11 @@
 _CALLERS_SHARE: Final = 0.25
 _PEERS_SHARE: Final = 0.15
 _OTHERS_SHARE: Final = 0.125
+#: Memory of a connection that holds few bytes: its tasks and parser, and what
+#: waits in its receive buffer.
+_CONNECTION_BYTES: Final = 32_768
+#: What all connections may take so, as a multiple of the budget for bytes.
+_BUDGETS: Final = 2
 #: Descriptors if neither the settings nor the process limit them.
 _MOST_DESCRIPTORS: Final = 65536
 
@@ -94,14 +99,20 @@
 def limit_connections(
     descriptors: int, budget: MemoryBudget, on_refusal: Callable[[], None]
 ) -> ConnectionLimits:
-    """Returns the bounds; without a setting those of the process apply."""
+    """Returns the bounds; without a setting those of the process apply.
+
+    There are no more connections than the memory has room for.
+    """
     process_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     available = descriptors or min(process_limit, _MOST_DESCRIPTORS)
     if available < 0:
         available = _MOST_DESCRIPTORS
+    most_connections = _BUDGETS * budget.max_bytes / _CONNECTION_BYTES
+    all_shares = _CALLERS_SHARE + _PEERS_SHARE + _OTHERS_SHARE
+    usable = min(available, most_connections / all_shares)
 
     def group(share: float) -> ConnectionGroup:
-        return ConnectionGroup(int(available * share), budget, on_refusal)
+        return ConnectionGroup(int(usable * share), budget, on_refusal)
 
     return ConnectionLimits(
         group(_CALLERS_SHARE), group(_PEERS_SHARE), group(_OTHERS_SHARE)
--- a/tests/edges/test_connection_limits.py
+++ b/tests/edges/test_connection_limits.py
@@ -1,11 +1,19 @@
 """Tests of the bound on connections: which one is closed when it is reached."""
 
 import attrs
+import pytest
 import trio
 from trio.testing import MockClock
 
-from masticstage.edges.connection_limits import ConnectionGroup
-from masticstage.edges.memory_budget import MemoryBudget, Phase
+from masticstage.edges.connection_limits import (
+    ConnectionGroup,
+    limit_connections,
+)
+from masticstage.edges.memory_budget import (
+    MemoryBudget,
+    Phase,
+    budget_bytes,
+)
 
 
 @attrs.define(eq=False)
@@ -63,3 +71,35 @@
         is_admitted=False,
         wait_s=0.1,
     )
+
+
+def _count_admitted(memory_mb, descriptors):
+    """Returns how many connections of callers are admitted at once."""
+    admitted = []
+
+    async def check():
+        budget = MemoryBudget(budget_bytes(memory_mb))
+        callers = limit_connections(descriptors, budget, lambda: None).callers
+        stream = _Stream()
+        while callers.admit(stream):
+            callers.holding_of(stream).enter(Phase.HANDLING)
+            admitted.append(stream)
+            stream = _Stream()
+
+    trio.run(check)
+    return len(admitted)
+
+
+@pytest.mark.parametrize(
+    ('memory_mb', 'descriptors'),
+    [(152, 1535), (413, 8192), (430, 6150), (552, 11275)],
+)
+def test_machines_of_users_admit_what_their_descriptors_allow(
+    memory_mb, descriptors
+):
+    assert _count_admitted(memory_mb, descriptors) == descriptors // 4
+
+
+def test_little_memory_admits_few_connections_whatever_the_descriptors():
+    """Guards against connections that are idle and exhaust the memory."""
+    assert 32_768 * _count_admitted(152, 60_000) < 152_000_000 / 4
