Bound the bodies of all requests at the product's own interface

What callers saw: an instance (`masticstage-instance`) to which 64 callers send bodies that stop short of their end, announced, chunked or without end, had 359 to 386 MB; nothing bounds it but the machine.

Cause: the web framework bounds one body and reads it whole in the background; nothing bounded their sum.

Change: an ASGI layer counts the bodies of all requests, three times each, in a budget of the kind that the entry instance has: a fifth of the new setting `limits.memory_mb` (512). Requests that are not read completely give way, those first that have stopped, with 503 `overloaded`, `not_run`, `Retry-After`.

Why it works: a request that gives way is cancelled with the framework's tasks, which frees what they hold; its connection is closed behind the refusal, since its body has not ended.

--- a/src/masticstage/lifecycle.py
+++ b/src/masticstage/lifecycle.py
@@ -9,9 +9,11 @@
 from hypercorn.trio import serve
 
 from masticstage.audit import Event
+from masticstage.bounded_requests import bound_requests
 from masticstage.caller_api import create_app
 from masticstage.clock import SystemClock, milliseconds
 from masticstage.composition.instances import build_instance
+from masticstage.edges.memory_budget import MemoryBudget, budget_bytes
 from masticstage.gossip import exchange_with, run_gossip
 from masticstage.instance import Instance
 from masticstage.peer_server import start_peer_server, stop_peer_server
@@ -70,8 +72,13 @@
     tls = instance.settings.caller_tls
     config.certfile = tls.certificate or None
     config.keyfile = tls.key or None
+    memory_mb = instance.settings.limits.memory_mb
     await serve(
-        create_app(instance),
+        bound_requests(
+            create_app(instance),
+            instance,
+            MemoryBudget(budget_bytes(memory_mb)),
+        ),
         config,
         shutdown_trigger=lambda: _wait_until_drained(instance),
     )
--- a/src/masticstage/settings_schema.py
+++ b/src/masticstage/settings_schema.py
@@ -38,6 +38,7 @@
     open_calls: int = 500
     held_outcomes: int = 20000
     outcome_bytes: int = 65536
+    memory_mb: float = 512
 
 
 @attrs.frozen
