Soak: let callers outside the limits come as one more fault

Cause: crowds met instances at rest alone, never one that is killed, stopped, paused or reloaded meanwhile, nor ordinary callers beside them.

Change: one fault of eleven is a few callers (4 to 24) at one address of one instance: bodies that stop short, in large or very small chunks, of a length that is refused, bytes behind a request, or answers that are read slowly. The instances have the limits of the users' smallest machine; the soak fails if one has ended by itself or has had more memory resident.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,8 +1,9 @@
 """The program of `make soak`: load and faults on the platform's stand-ins.
 
-While callers send requests or leave, instances are killed and restarted,
-replicas crash and misbehave, processes of both are paused, data centres are
-evacuated and the store becomes unavailable or is restored from an older copy.
+While callers send requests or leave, others come that are outside the limits,
+instances are killed and restarted, replicas crash and misbehave, processes of
+both are paused, data centres are evacuated and the store becomes unavailable or
+is restored from an older copy.
 Afterwards the requests that the
 replicas logged as run are compared with what the callers received, and with
 when they left.  The last line of the output is one JSON object.
@@ -23,6 +24,7 @@
 import httpx
 import trio
 
+from bench.misbehaving_callers import LIMITS, find_strained, misbehave
 from bench.platform_callers import (
     AT_MOST_ONCE_KINDS,
     Departure,
@@ -90,10 +92,11 @@
     folder = Path('out') / f'soak-{seed}'
     record = _Record()
     async with running_platform(
-        folder, fault_share, seed, instances, older
+        folder, fault_share, seed, instances, older, LIMITS
     ) as fleet:
         with trio.move_on_after(duration_s):
             await _send_requests(fleet, seed, rate_per_s, record)
+        strained = find_strained(fleet)
     runs = list(read_runs(folder, fleet))
     run_counts = Counter(run.request_id for run in runs)
     return {
@@ -104,6 +107,7 @@
         'violations': [
             *find_violations(record.received, run_counts),
             *find_late_runs(record.departures, runs, fleet.pauses),
+            *strained,
         ],
     }
 
@@ -291,6 +295,7 @@
         'kill': _kill_instance,
         'reuse': _reuse_address,
         'leave': _replace_leaving_replica,
+        'misbehave': misbehave,
         'roll-back': _roll_store_back,
         'stop': _restart_instance,
         'store': _take_store_down,
