--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -85,14 +85,18 @@
             )
 
     async def restart(self, name: str, *, is_killed: bool) -> None:
-        """Kills or terminates a process and starts it again."""
+        """Kills or terminates a process and starts it again.
+
+        It is not left without its successor, also if this is cancelled.
+        """
         process = self.processes[name]
         if is_killed:
             process.kill()
         else:
             process.terminate()
-        await process.wait()
-        await self.start(name, *self.commands[name])
+        with trio.CancelScope(shield=True):
+            await process.wait()
+            await self.start(name, *self.commands[name])
 
     async def pause(self, name: str, pause_s: float) -> None:
         """Makes a process stand still for a while."""
--- a/tests/edges/crowds.py
+++ b/tests/edges/crowds.py
@@ -25,8 +25,6 @@
 _TEST_TIMEOUT_S = 90
 _ERRORS = (OSError, trio.BrokenResourceError)
 NO_LINGER = struct.pack('ii', 1, 0)
-
-
 #: Limits of the smallest machine on the users' sheets.
 SMALLEST_MEMORY_MB = 152
 SMALLEST_DESCRIPTORS = 1535
@@ -175,9 +173,15 @@
 
 
 async def _is_answered(address: str) -> bool:
+    answer = await ask(address)
+    return answer is not None and answer.is_success
+
+
+async def ask(address: str) -> httpx.Response | None:
+    """Returns the answer to an ordinary request, None without one."""
     async with httpx.AsyncClient(trust_env=False) as client:
         with suppress(httpx.HTTPError):
-            answer = await client.post(
+            return await client.post(
                 f'http://{address}/stock/1',
                 headers={
                     'Host': HOST,
@@ -186,5 +190,4 @@
                 },
                 content=b'order',
             )
-            return answer.is_success
-    return False
+    return None
--- a/tests/edges/long_answers.py
+++ b/tests/edges/long_answers.py
@@ -5,12 +5,11 @@
 from socket import SO_LINGER, SO_RCVBUF, SOL_SOCKET
 
 import attrs
-import httpx
 import trio
 
-from bench.platform_fleet import HOST, build_platform_configuration
+from bench.platform_fleet import build_platform_configuration
 from tests.edges.crowd_forms import head
-from tests.edges.crowds import NO_LINGER
+from tests.edges.crowds import NO_LINGER, ask
 
 EVENT_BYTES = 200_000
 _ANSWER_BYTES = 400_000
@@ -140,18 +139,8 @@
 
 
 async def _signature(address):
-    async with httpx.AsyncClient(trust_env=False) as client:
-        with suppress(httpx.HTTPError):
-            answer = await client.post(
-                f'http://{address}/stock/1',
-                headers={
-                    'Host': HOST,
-                    'X-Request-Id': 'first',
-                    'X-Deadline-Ms': '3000',
-                },
-            )
-            return answer.headers.get('x-response-signature', '')
-    return ''
+    answer = await ask(address)
+    return '' if answer is None else answer.headers.get('x-response-signature')
 
 
 async def read_slowly(address, reader, received):
--- a/tests/edges/test_crowds_at_the_limits.py
+++ b/tests/edges/test_crowds_at_the_limits.py
@@ -13,7 +13,6 @@
     chunk,
     head,
     large_crowds,
-    unfinished_bodies,
 )
 from tests.edges.crowds import (
     CALLERS,
@@ -120,7 +119,6 @@
         for name in ('shop-north-a', 'shop-east-a'):
             await fleet.delete_record(f'servers/{name}')
         crowds = {
-            **unfinished_bodies(_CALL, CALLERS),
             **large_crowds(_CALL, CALLERS),
             'whole-body': Crowd(CALLERS, _RELAYED_BODY),
         }
