Log what a quarantined cause was compared with

Cause: `quarantined` has the cause alone, so that the log does not show whether another one had the same crashes, nor whether answers spoke for it.

Change: the line has its crashes and upstreams, the causes of all the same crashes, and the time since an answer that this instance saw.

--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -38,6 +38,8 @@
 
 AsyncFunction = Callable[..., Awaitable[object]]
 _DEFAULT_LIMITS: Final = CallerLimits()
+#: Rivals of a cause in one log line, of up to some hundred.
+_MAX_LOGGED: Final = 20
 
 
 @final
@@ -190,8 +192,17 @@
         that was seen here.
         """
         for cause in causes:
+            finding = self.views.crash_causes.describe(cause)
             self.metrics.count('quarantined')
-            self.log.record('quarantined', cause=str(cause), source=source)
+            self.log.record(
+                'quarantined',
+                cause=str(cause),
+                source=source,
+                crashes=finding.crashes,
+                upstreams=finding.upstreams,
+                rivals=[str(rival) for rival in finding.rivals[:_MAX_LOGGED]],
+                answered_age_s=finding.answered_age_s,
+            )
 
     def record_answer(self, causes: Causes) -> None:
         """Records a complete answer, which clears causes of crashes."""
--- a/src/masticstage/forwarding/crash_causes.py
+++ b/src/masticstage/forwarding/crash_causes.py
@@ -75,6 +75,23 @@
     age_s: float
 
 
+@attrs.frozen
+class Finding:
+    """What is known about a cause, for logs.
+
+    `crashes` are those that no complete answer followed, `upstreams` the
+    number of upstreams that crashed in them. `rivals` are causes of all the
+    same crashes. `answered_age_s` is the time since a complete answer that
+    this instance saw, in seconds, None without any.
+    """
+
+    cause: Cause
+    crashes: int
+    upstreams: int
+    rivals: tuple[Cause, ...]
+    answered_age_s: float | None
+
+
 @attrs.define
 class _Evidence:
     """Crashes with a cause; times are on the monotonic clock, in seconds.
@@ -163,6 +180,25 @@
         """Returns all quarantined causes."""
         return self._quarantined_among(self._evidence)
 
+    def describe(self, cause: Cause) -> Finding:
+        """Returns what is known about a cause."""
+        evidence = self._evidence.get(cause)
+        crashes = evidence.uncleared if evidence else set()
+        weight = _weigh(crashes)
+        rivals = (
+            other
+            for other, known in self._evidence.items()
+            if other != cause and crashes and known.uncleared >= crashes
+        )
+        answered_at_s = self._answered_at_s.get(cause)
+        return Finding(
+            cause,
+            weight.crashes,
+            weight.upstreams,
+            tuple(sorted(rivals)),
+            None if answered_at_s is None else self._now_s() - answered_at_s,
+        )
+
     def record_crash(self, crash: int, causes: Causes) -> list[Cause]:
         """Records a crash of an upstream that ran requests with the causes.
 
--- a/tests/forwarding/test_crash_causes.py
+++ b/tests/forwarding/test_crash_causes.py
@@ -90,6 +90,21 @@
     assert not evidence.causes.quarantined()
 
 
+def test_a_finding_names_the_causes_of_the_same_crashes():
+    evidence = _build_evidence()
+    evidence.causes.record_answer(frozenset((_COMMON,)))
+    evidence.clock.advance(5 * SECOND)
+    evidence.crash(1, 2, causes=frozenset((_DEADLY, _COMMON)))
+    evidence.crash(3, causes=frozenset((_COMMON,)))
+
+    common = evidence.causes.describe(_COMMON)
+    assert (common.crashes, common.upstreams, common.rivals) == (3, 3, ())
+    assert common.answered_age_s == 5
+    deadly = evidence.causes.describe(_DEADLY)
+    assert (deadly.crashes, deadly.rivals) == (2, (_COMMON,))
+    assert deadly.answered_age_s is None
+
+
 def test_one_crash_counts_once():
     evidence = _build_evidence()
 
