Give the crash causes a folder, and their log lines a module

Cause: crash_causes.py holds what a cause is, the evidence and the choice among causes; the object of an instance holds their log lines.

Change: forwarding/crashes with causes.py; edges/crash_evidence.py and edges/activity.py. No behaviour changes.

--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -17,9 +17,10 @@
     to_milliseconds,
 )
 from masticstage.drain import Drain
+from masticstage.edges.activity import Activity
 from masticstage.edges.connections import Connections
 from masticstage.edges.decision_log import DecisionLog
-from masticstage.edges.gateway import Activity, Gateway, Views
+from masticstage.edges.gateway import Gateway, Views
 from masticstage.edges.gossip_state import GossipState
 from masticstage.edges.http_client import ConnectionPool, HeldBodies
 from masticstage.edges.instance_memory import InstanceMemory
@@ -29,7 +30,7 @@
 from masticstage.forwarding.budgets import BudgetBounds, RetryBudget
 from masticstage.forwarding.candidate_finder import CandidateFinder
 from masticstage.forwarding.choice import Chooser
-from masticstage.forwarding.crash_causes import CrashCauses
+from masticstage.forwarding.crashes.crash_causes import CrashCauses
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.overload import OverloadControl
--- a/src/masticstage/edges/dispatch_log.py
+++ b/src/masticstage/edges/dispatch_log.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Final
 
+from masticstage.edges.crash_evidence import record_answer
 from masticstage.edges.dispatch_outcome import DispatchOutcome, RoutedRequest
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.notices import describe_notices
@@ -71,7 +72,7 @@
         )
     if outcome.evidence is Evidence.ANSWERED:
         if outcome.connection is None:
-            gateway.record_answer(routed.causes)
+            record_answer(gateway, routed.causes)
         loads.record_outcome(state, is_failure=False, is_relayed=is_relayed)
         prompt = routed.request.prompt
         state.cache.record_prefill(prompt)
--- a/src/masticstage/edges/dispatch_outcome.py
+++ b/src/masticstage/edges/dispatch_outcome.py
@@ -6,7 +6,7 @@
 
 from masticstage.edges.answer_parser import AnswerHead
 from masticstage.edges.http_client import Connection, ConnectionPool
-from masticstage.forwarding.crash_causes import Causes
+from masticstage.forwarding.crashes.causes import Causes
 from masticstage.forwarding.evidence import Evidence
 from masticstage.forwarding.requests import CallerRequest, CallKind
 from masticstage.forwarding.routes import Route
--- a/src/masticstage/edges/exchange.py
+++ b/src/masticstage/edges/exchange.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from masticstage import peer_pb2 as pb
+from masticstage.edges.crash_evidence import record_quarantined
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.lost_records import has_lost
 from masticstage.edges.messages import (
@@ -100,7 +101,8 @@
     else:
         views.loads.replace_peer_loads(message.sender.name, loads)
     _learn_leaving(gateway, message)
-    gateway.record_quarantined(
+    record_quarantined(
+        gateway,
         views.crash_causes.learn(map(decode_cause, message.crash_causes)),
         message.sender.name,
     )
--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -3,7 +3,7 @@
 It is built once by the composition root and passed to every stage.
 """
 
-from collections.abc import Awaitable, Callable, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from datetime import timedelta
 from typing import Any, Final, final
@@ -13,16 +13,16 @@
 
 from masticstage.clock import Clock, PauseDetector
 from masticstage.drain import Drain
+from masticstage.edges.activity import Activity
 from masticstage.edges.connections import Connections
 from masticstage.edges.decision_log import DecisionLog, format_failure
 from masticstage.edges.gossip_state import GossipState
-from masticstage.edges.pending_dispatches import PendingDispatches
 from masticstage.edges.quota_state import QuotaState
 from masticstage.edges.reload import SettingsFile
 from masticstage.entrysettings_schema import EntrySettings
 from masticstage.forwarding.budgets import RetryBudget
 from masticstage.forwarding.choice import Chooser
-from masticstage.forwarding.crash_causes import Cause, Causes, CrashCauses
+from masticstage.forwarding.crashes.crash_causes import CrashCauses
 from masticstage.forwarding.drain_times import accept_time, answer_time
 from masticstage.forwarding.loads import LoadTable
 from masticstage.forwarding.outage import OutageTracker
@@ -38,8 +38,6 @@
 
 AsyncFunction = Callable[..., Awaitable[object]]
 _DEFAULT_LIMITS: Final = CallerLimits()
-#: Rivals of a cause in one log line, of up to some hundred.
-_MAX_LOGGED: Final = 20
 
 
 @final
@@ -59,38 +57,6 @@
     prefix_reports: PrefixReports
 
 
-@final
-@attrs.define
-class BrokenRequests:
-    """Possible causes of the requests that broke on one upstream.
-
-    `checked` is set when it is known whether the upstream has crashed.
-    """
-
-    causes: set[Cause] = attrs.field(factory=set)
-    checked: trio.Event = attrs.field(factory=trio.Event)
-
-
-@final
-@attrs.define
-class Activity:
-    """Requests that are being handled.
-
-    `drain_started_at` is None before the drain.  Cancelling `open_scopes` makes
-    the requests of callers end with an answer of the gateway.  While an
-    upstream is checked after a broken answer, `broken_requests` holds the
-    requests that broke on it, by its name.  Cancelling `watch_scope` ends the
-    wait of the watch of the platform's records.
-    """
-
-    open_requests: int = 0
-    drain_started_at: timedelta | None = None
-    open_scopes: set[trio.CancelScope] = attrs.field(factory=set)
-    broken_requests: dict[str, BrokenRequests] = attrs.field(factory=dict)
-    pending: PendingDispatches = attrs.field(factory=PendingDispatches)
-    watch_scope: trio.CancelScope | None = None
-
-
 @final
 @attrs.frozen(eq=False)
 class Gateway:
@@ -183,34 +149,6 @@
                 error=format_failure(error),
             )
 
-    def record_quarantined(
-        self, causes: Iterable[Cause], source: str = ''
-    ) -> None:
-        """Logs causes of crashes that are refused from now on.
-
-        `source` is the instance whose report led to that, empty for a crash
-        that was seen here.
-        """
-        for cause in causes:
-            finding = self.views.crash_causes.describe(cause)
-            self.metrics.count('quarantined')
-            self.log.record(
-                'quarantined',
-                cause=str(cause),
-                source=source,
-                crashes=finding.crashes,
-                upstreams=finding.upstreams,
-                rivals=[str(rival) for rival in finding.rivals[:_MAX_LOGGED]],
-                answered_age_s=finding.answered_age_s,
-            )
-
-    def record_answer(self, causes: Causes) -> None:
-        """Records a complete answer, which clears causes of crashes."""
-        released = self.views.crash_causes.find_quarantined(causes)
-        if released is not None:
-            self.log.record('quarantine_ended', cause=str(released))
-        self.record_quarantined(self.views.crash_causes.record_answer(causes))
-
     def elapsed_s(self) -> float:
         """Returns the monotonic clock in seconds."""
         return self.clock.elapsed().total_seconds()
--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -12,8 +12,10 @@
 
 import trio
 
+from masticstage.edges.activity import BrokenRequests
+from masticstage.edges.crash_evidence import record_crash
 from masticstage.edges.dispatch_outcome import DispatchOutcome, RoutedRequest
-from masticstage.edges.gateway import BrokenRequests, Gateway
+from masticstage.edges.gateway import Gateway
 from masticstage.edges.http_client import OutgoingRequest, connect
 from masticstage.edges.notices import record_leaving, record_rest
 from masticstage.exceptions import (
@@ -23,7 +25,6 @@
     UpstreamFailedError,
 )
 from masticstage.forwarding.candidates import Choice
-from masticstage.forwarding.crash_causes import Causes, identify_crash
 from masticstage.forwarding.evidence import Evidence
 from masticstage.forwarding.published import UpstreamRecord
 from masticstage.forwarding.view import KnownUpstream
@@ -35,8 +36,6 @@
 #: Longest wait for a check before a request is repeated elsewhere. A refused
 #: connection is known after a millisecond.
 _MAX_WAIT_FOR_CHECK_S: Final = 0.1
-#: Causes in one log line, of up to some hundred.
-_MAX_LOGGED: Final = 20
 
 
 async def update_upstream_health(
@@ -130,30 +129,10 @@
         broken = gateway.activity.broken_requests.pop(name)
     is_refused = isinstance(failure, ConnectError) and failure.is_refused
     if is_refused and not gateway.views.fleet.is_leaving(name):
-        _record_crash(gateway, upstream, frozenset(broken.causes))
+        record_crash(gateway, upstream.record, frozenset(broken.causes))
     broken.checked.set()
 
 
-def _record_crash(
-    gateway: Gateway,
-    upstream: KnownUpstream,
-    causes: Causes,
-) -> None:
-    record = upstream.record
-    gateway.metrics.count('upstream_crashed')
-    gateway.log.record(
-        'upstream_crashed',
-        upstream=record.name,
-        started_at_ms=record.started_at_ms,
-        causes=sorted(map(str, causes))[:_MAX_LOGGED],
-        cause_count=len(causes),
-    )
-    crash = identify_crash(record)
-    gateway.record_quarantined(
-        gateway.views.crash_causes.record_crash(crash, causes)
-    )
-
-
 async def _check_and_suspect(
     gateway: Gateway,
     upstream: KnownUpstream,
--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -10,7 +10,8 @@
 from masticstage import peer_pb2 as pb
 from masticstage.clock import milliseconds
 from masticstage.edges.compression import compress, decompress
-from masticstage.forwarding.crash_causes import Cause, CauseReport
+from masticstage.forwarding.crashes.causes import Cause
+from masticstage.forwarding.crashes.crash_causes import CauseReport
 from masticstage.forwarding.health import Outcomes
 from masticstage.forwarding.loads import SharedLoad
 from masticstage.forwarding.prefix_reports import PrefixReport
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -33,7 +33,7 @@
 from masticstage.edges.team_keys import count_team, name_relayed_team
 from masticstage.exceptions import InvalidRequestError
 from masticstage.forwarding.candidates import Choice
-from masticstage.forwarding.crash_causes import possible_causes
+from masticstage.forwarding.crashes.causes import possible_causes
 from masticstage.forwarding.events import EventFramer
 from masticstage.forwarding.evidence import Evidence
 from masticstage.forwarding.requests import Headers
--- a/src/masticstage/edges/refusals.py
+++ b/src/masticstage/edges/refusals.py
@@ -11,7 +11,7 @@
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.http_server import Reply
 from masticstage.edges.team_keys import count_team, name_team, team_fields
-from masticstage.forwarding.crash_causes import possible_causes
+from masticstage.forwarding.crashes.causes import possible_causes
 from masticstage.forwarding.requests import CallerRequest
 from masticstage.forwarding.routes import Route, RouteTable
 from masticstage.forwarding.teams import Team
--- a/src/masticstage/edges/streaming.py
+++ b/src/masticstage/edges/streaming.py
@@ -8,6 +8,7 @@
 import attrs
 import trio
 
+from masticstage.edges.crash_evidence import record_answer
 from masticstage.edges.dispatch_outcome import DispatchOutcome, RoutedRequest
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.health_checks import is_healthy
@@ -70,7 +71,7 @@
     reason = await _forward_events(outcome, framer, reply, idle_policy)
     if reason or outcome.connection is None:
         return reason
-    gateway.record_answer(routed.causes)
+    record_answer(gateway, routed.causes)
     if choice.candidate.via is None:
         took_s = gateway.elapsed_s() - started_s
         gateway.views.chooser.record_stream(choice, took_s)
--- /dev/null
+++ b/src/masticstage/forwarding/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which requests crash upstreams and are refused for that."""
--- a/src/masticstage/forwarding/crash_causes.py
+++ b/src/masticstage/forwarding/crashes/crash_causes.py
@@ -13,11 +13,14 @@
 from typing import Final, final
 
 import attrs
-import xxhash
 
 from masticstage.clock import Clock
-from masticstage.forwarding.published import UpstreamRecord
-from masticstage.forwarding.requests import CallerRequest
+from masticstage.forwarding.crashes.causes import (
+    Cause,
+    Causes,
+    Weight,
+    weigh_crashes,
+)
 
 #: A cause whose requests were answered this short a time before a crash is not
 #: blamed for it. Otherwise several crashes within a second would be blamed on
@@ -38,26 +41,6 @@
 _MAX_ANSWERS: Final = 4096
 _MAX_REPORTS: Final = 60
 _MAX_CRASHES: Final = 16
-#: Digests and ids of prompt parts are hexadecimal; their last 64 bits are used.
-_HEX_BASE: Final = 16
-_MAX_ID: Final = 0xFFFFFFFFFFFFFFFF
-_HALF_BITS: Final = 32
-
-
-@attrs.frozen(order=True)
-class Cause:
-    """A possible cause of crashes: a prompt part, or a request's content."""
-
-    is_part: bool
-    digest: int
-
-    def __str__(self) -> str:
-        """Returns the kind and the digest in hexadecimal, for logs."""
-        kind = 'part' if self.is_part else 'request'
-        return f'{kind} {self.digest:x}'
-
-
-Causes = frozenset[Cause]
 
 
 @attrs.frozen
@@ -105,9 +88,11 @@
     is_quarantined: bool = False
 
     @property
-    def uncleared(self) -> set[int]:
+    def uncleared(self) -> frozenset[int]:
         """The crashes after which no complete answer was seen."""
-        return {crash for crash, clear in self.crashes.items() if not clear}
+        return frozenset(
+            crash for crash, clear in self.crashes.items() if not clear
+        )
 
     def add(self, crashes: Iterable[int]) -> bool:
         """Adds crashes; returns whether any is new."""
@@ -130,38 +115,6 @@
             self.crashes.pop(next(iter(self.crashes)))
 
 
-@attrs.frozen(order=True)
-class _Weight:
-    """How many upstreams have crashed, and how often together."""
-
-    upstreams: int
-    crashes: int
-
-
-def possible_causes(request: CallerRequest, fingerprint: str) -> Causes:
-    """Returns what may be the cause if an upstream crashes on a request.
-
-    The last part of a prompt belongs to the request and is no cause of its own.
-    """
-    whole = Cause(is_part=False, digest=_parse_digest(fingerprint))
-    parts = (
-        Cause(is_part=True, digest=_parse_digest(part.part_id))
-        for part in request.prompt.shared_prefix
-    )
-    return frozenset((whole, *parts))
-
-
-def identify_crash(upstream: UpstreamRecord) -> int:
-    """Returns a hash of the crash of an upstream.
-
-    Its upper half identifies the upstream by its address, which it has again
-    after a restart, the lower half its run until the crash.
-    """
-    address = xxhash.xxh32_intdigest(upstream.address.encode())
-    run = f'{upstream.name}\0{upstream.started_at_ms}'
-    return address << _HALF_BITS | xxhash.xxh32_intdigest(run.encode())
-
-
 @final
 @attrs.define
 class CrashCauses:
@@ -183,8 +136,8 @@
     def describe(self, cause: Cause) -> Finding:
         """Returns what is known about a cause."""
         evidence = self._evidence.get(cause)
-        crashes = evidence.uncleared if evidence else set()
-        weight = _weigh(crashes)
+        crashes = evidence.uncleared if evidence else frozenset()
+        weight = weigh_crashes(crashes)
         rivals = (
             other
             for other, known in self._evidence.items()
@@ -251,13 +204,13 @@
         # In random order, so that several messages have all that are as strong.
         self._random.shuffle(current)
         current.sort(
-            key=lambda entry: _weigh(_unexplained(entry[1], explained)),
+            key=lambda entry: weigh_crashes(_unexplained(entry[1], explained)),
             reverse=True,
         )
         return [
             CauseReport(
                 cause,
-                frozenset(evidence.uncleared),
+                evidence.uncleared,
                 frozenset(evidence.crashes.keys() - evidence.uncleared),
                 now_s - evidence.last_crash_s,
             )
@@ -348,11 +301,11 @@
         """Returns the cause to quarantine next, None without any."""
         explained = self._explained()
         weights = {
-            cause: _weigh(_unexplained(evidence, explained))
+            cause: weigh_crashes(_unexplained(evidence, explained))
             for cause, evidence in self._evidence.items()
             if not evidence.is_quarantined
         }
-        weight = max(weights.values(), default=_Weight(0, 0))
+        weight = max(weights.values(), default=Weight(0, 0))
         equal = [cause for cause in weights if weights[cause] == weight]
         is_due = weight.crashes >= CRASHES_TO_QUARANTINE or (
             weight.upstreams >= UPSTREAMS_TO_QUARANTINE and len(equal) == 1
@@ -380,17 +333,8 @@
         return self._clock.elapsed().total_seconds()
 
 
-def _unexplained(evidence: _Evidence, explained: set[int]) -> set[int]:
+def _unexplained(evidence: _Evidence, explained: set[int]) -> frozenset[int]:
     """Returns the crashes that speak against a cause."""
     if evidence.is_quarantined:
         return evidence.uncleared
     return evidence.uncleared - explained
-
-
-def _weigh(crashes: set[int]) -> _Weight:
-    upstreams = {crash >> _HALF_BITS for crash in crashes}
-    return _Weight(len(upstreams), len(crashes))
-
-
-def _parse_digest(identity: str) -> int:
-    return int(identity, _HEX_BASE) & _MAX_ID
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -11,7 +11,8 @@
 import attrs
 
 from masticstage.clock import ManualClock
-from masticstage.forwarding.crash_causes import Cause, CrashCauses
+from masticstage.forwarding.crashes.causes import Cause
+from masticstage.forwarding.crashes.crash_causes import CrashCauses
 
 _STEP_S = 0.05
 _STEPS_PER_EXCHANGE = 5
--- /dev/null
+++ b/tests/forwarding/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package masticstage.forwarding.crashes."""
--- a/tests/forwarding/test_crash_causes.py
+++ b/tests/forwarding/crashes/test_crash_causes.py
@@ -9,17 +9,19 @@
 from hypothesis import strategies as st
 
 from masticstage.clock import ManualClock
-from masticstage.forwarding.crash_causes import (
+from masticstage.forwarding.crashes.causes import (
+    Cause,
+    identify_crash,
+    possible_causes,
+)
+from masticstage.forwarding.crashes.crash_causes import (
     _CAPACITY,
     _MAX_CRASHES,
     _MAX_REPORTS,
     CRASHES_TO_QUARANTINE,
     UPSTREAMS_TO_QUARANTINE,
-    Cause,
     CauseReport,
     CrashCauses,
-    identify_crash,
-    possible_causes,
 )
 from tests.forwarding_builders import (
     SECOND,
