Blame for crashes what was never answered first

What callers saw: after a pause of some seconds in sound traffic, requests with a deadly part made the instances refuse all prompts that begin with the same part (503, crashed upstreams); the deadly part itself ran on behind another first part.

Cause: an answer spoke for a part for 2 s only, and only at the instance that saw it. Afterwards the first part and the deadly one, which had all the same crashes, were equal, and the greater id decided.

Why this works: a complete answer proves that its parts do not crash upstreams, so it counts for an hour (AnsweredCauses; causes with a second answer are not displaced by contents that are answered once) and is told with the evidence (CrashCause.answered_ms). A part that was answered is blamed only for crashes that no recurring cause without an answer was in. Equal causes still wait for five crashes, since an answered part may turn deadly.

--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -160,6 +160,11 @@
         uncleared=report.uncleared,
         cleared=report.cleared,
         age_ms=_to_uint32(report.age_s * _MS_PER_S),
+        answered_ms=(
+            None
+            if report.answered_age_s is None
+            else _to_uint32(report.answered_age_s * _MS_PER_S)
+        ),
     )
 
 
@@ -170,6 +175,11 @@
         frozenset(message.uncleared),
         frozenset(message.cleared),
         message.age_ms / _MS_PER_S,
+        (
+            message.answered_ms / _MS_PER_S
+            if message.HasField('answered_ms')
+            else None
+        ),
     )
 
 
--- /dev/null
+++ b/src/masticstage/forwarding/crashes/answers.py
@@ -0,0 +1,45 @@
+"""Remembers which causes had complete answers, and when.
+
+An answer proves that what it was given on does not crash upstreams.  Causes
+with a second answer are kept apart, so that the contents of many requests, each
+answered once, do not displace what prompts share.
+"""
+
+from collections import OrderedDict
+from math import inf
+from typing import Final, final
+
+import attrs
+
+from masticstage.forwarding.crashes.causes import Cause
+
+#: Most causes of each kind: answered once, and more often.
+_CAPACITY: Final = 4096
+
+
+@final
+@attrs.define
+class AnsweredCauses:
+    """When causes had a complete answer, the least recent first.
+
+    Times are on the monotonic clock, in seconds.
+    """
+
+    _once: OrderedDict[Cause, float] = attrs.field(factory=OrderedDict)
+    _repeated: OrderedDict[Cause, float] = attrs.field(factory=OrderedDict)
+
+    def record(self, cause: Cause, now_s: float) -> None:
+        """Records an answer that is complete now."""
+        is_first = (
+            self._once.pop(cause, None) is None
+            and self._repeated.pop(cause, None) is None
+        )
+        kind = self._once if is_first else self._repeated
+        kind[cause] = now_s
+        if len(kind) > _CAPACITY:
+            kind.popitem(last=False)
+
+    def last_s(self, cause: Cause) -> float:
+        """Returns when a cause was last answered, minus infinity if never."""
+        repeated_s = self._repeated.get(cause)
+        return self._once.get(cause, -inf) if repeated_s is None else repeated_s
--- a/src/masticstage/forwarding/crashes/crash_causes.py
+++ b/src/masticstage/forwarding/crashes/crash_causes.py
@@ -6,7 +6,6 @@
 is quarantined.  All instances merge their evidence, in any order.
 """
 
-from collections import OrderedDict
 from collections.abc import Iterable
 from math import inf
 from random import Random
@@ -15,30 +14,24 @@
 import attrs
 
 from masticstage.clock import Clock
+from masticstage.forwarding.crashes.answers import AnsweredCauses
 from masticstage.forwarding.crashes.causes import (
     Cause,
     Causes,
-    Weight,
     weigh_crashes,
 )
+from masticstage.forwarding.crashes.verdicts import Suspect, find_guilty
 
 #: A cause whose requests were answered this short a time before a crash is not
 #: blamed for it. Otherwise several crashes within a second would be blamed on
 #: what all prompts share, before any of their answers is complete.
 _TRUSTED_FOR_S: Final = 2.0
-#: A cause is quarantined after unexplained crashes of so many upstreams, or of
-#: fewer if one alone has crashed so often. An upstream that goes down again and
-#: again breaks what is often sent to it, whatever that is.
-UPSTREAMS_TO_QUARANTINE: Final = 3
-CRASHES_TO_QUARANTINE: Final = 5
 #: Time after the last crash for which evidence and a quarantine are valid.
 _LIFETIME_S: Final = 3600.0
 #: Time for which new evidence is repeated to other instances.
 _SPREAD_S: Final = 30.0
-#: Most causes that are held, answers that are remembered, causes in a message,
-#: and crashes of one cause.
+#: Most causes that are held, causes in a message, and crashes of one cause.
 _CAPACITY: Final = 4096
-_MAX_ANSWERS: Final = 4096
 _MAX_REPORTS: Final = 60
 _MAX_CRASHES: Final = 16
 
@@ -48,7 +41,8 @@
     """What an instance knows about a cause.
 
     `uncleared` and `cleared` are crashes of upstreams, as hashes. A complete
-    answer followed the cleared ones. `age_s` is the time since the last crash
+    answer followed the cleared ones. `age_s` is the time since the last crash,
+    `answered_age_s` that since the last complete answer, None without any, both
     in seconds.
     """
 
@@ -56,6 +50,7 @@
     uncleared: frozenset[int]
     cleared: frozenset[int]
     age_s: float
+    answered_age_s: float | None = None
 
 
 @attrs.frozen
@@ -64,8 +59,8 @@
 
     `crashes` are those that no complete answer followed, `upstreams` the
     number of upstreams that crashed in them. `rivals` are causes of all the
-    same crashes. `answered_age_s` is the time since a complete answer that
-    this instance saw, in seconds, None without any.
+    same crashes. `answered_age_s` is the time since a complete answer,
+    in seconds, None without any.
     """
 
     cause: Cause
@@ -80,12 +75,14 @@
     """Crashes with a cause; times are on the monotonic clock, in seconds.
 
     `crashes` maps each crash to whether a complete answer followed.
+    `answered_at_s` is when an answer was complete that a peer knows of.
     """
 
     last_crash_s: float
     changed_s: float
     crashes: dict[int, bool] = attrs.field(factory=dict)
     is_quarantined: bool = False
+    answered_at_s: float = -inf
 
     @property
     def uncleared(self) -> frozenset[int]:
@@ -123,7 +120,7 @@
     _clock: Clock
     _random: Random
     _evidence: dict[Cause, _Evidence] = attrs.field(factory=dict)
-    _answered_at_s: OrderedDict[Cause, float] = attrs.field(factory=OrderedDict)
+    _answers: AnsweredCauses = attrs.field(factory=AnsweredCauses)
 
     def find_quarantined(self, causes: Iterable[Cause]) -> Cause | None:
         """Returns a quarantined one of the causes, None without any."""
@@ -143,13 +140,12 @@
             for other, known in self._evidence.items()
             if other != cause and crashes and known.uncleared >= crashes
         )
-        answered_at_s = self._answered_at_s.get(cause)
         return Finding(
             cause,
             weight.crashes,
             weight.upstreams,
             tuple(sorted(rivals)),
-            None if answered_at_s is None else self._now_s() - answered_at_s,
+            self._answered_age_s(cause, evidence, self._now_s()),
         )
 
     def record_crash(self, crash: int, causes: Causes) -> list[Cause]:
@@ -176,14 +172,11 @@
         now_s = self._now_s()
         is_changed = False
         for cause in causes:
-            self._answered_at_s[cause] = now_s
-            self._answered_at_s.move_to_end(cause)
+            self._answers.record(cause, now_s)
             evidence = self._evidence.get(cause)
             if evidence and evidence.clear(evidence.uncleared):
                 evidence.changed_s = now_s
                 is_changed = True
-        while len(self._answered_at_s) > _MAX_ANSWERS:
-            self._answered_at_s.popitem(last=False)
         return self._quarantine_due() if is_changed else []
 
     def reports(self) -> list[CauseReport]:
@@ -213,6 +206,7 @@
                 evidence.uncleared,
                 frozenset(evidence.crashes.keys() - evidence.uncleared),
                 now_s - evidence.last_crash_s,
+                self._answered_age_s(cause, evidence, now_s),
             )
             for cause, evidence in current[:_MAX_REPORTS]
         ]
@@ -233,6 +227,7 @@
     def _merge(self, report: CauseReport, now_s: float) -> bool:
         """Merges the evidence about one cause; returns whether any is new."""
         evidence = self._evidence_for(report.cause, now_s)
+        is_new_answer = self._learn_answer(report, evidence, now_s)
         crashed_at_s = now_s - report.age_s
         has_new_crash = evidence.add(report.uncleared | report.cleared)
         is_cleared = evidence.clear(report.cleared)
@@ -240,14 +235,37 @@
             is_cleared = evidence.clear(evidence.uncleared) or is_cleared
         if has_new_crash:
             evidence.last_crash_s = max(evidence.last_crash_s, crashed_at_s)
-        if has_new_crash or is_cleared:
+        is_changed = has_new_crash or is_cleared or is_new_answer
+        if is_changed:
             evidence.changed_s = now_s
-        return has_new_crash or is_cleared
+        return is_changed
+
+    def _learn_answer(
+        self, report: CauseReport, evidence: _Evidence, now_s: float
+    ) -> bool:
+        """Takes a peer's word that a cause was answered; returns if it is new.
+
+        Only the first is taken: ages grow less than time by the way of each
+        message, so that they must not pass back and forth.
+        """
+        age_s = report.answered_age_s
+        known_age_s = self._answered_age_s(report.cause, evidence, now_s)
+        if age_s is None or known_age_s is not None:
+            return False
+        evidence.answered_at_s = now_s - age_s
+        return True
+
+    def _answered_age_s(
+        self, cause: Cause, evidence: _Evidence | None, now_s: float
+    ) -> float | None:
+        """Returns the time since a complete answer that counts, or None."""
+        heard_at_s = evidence.answered_at_s if evidence else -inf
+        age_s = now_s - max(self._answers.last_s(cause), heard_at_s)
+        return age_s if age_s < _LIFETIME_S else None
 
     def _was_answered(self, cause: Cause, crashed_at_s: float) -> bool:
         """Returns whether an answer speaks against blame for a crash."""
-        answered_at_s = self._answered_at_s.get(cause, -inf)
-        return answered_at_s > crashed_at_s - _TRUSTED_FOR_S
+        return self._answers.last_s(cause) > crashed_at_s - _TRUSTED_FOR_S
 
     def _evidence_for(self, cause: Cause, now_s: float) -> _Evidence:
         """Returns the valid evidence about a cause, empty if there is none."""
@@ -282,37 +300,23 @@
         }
 
     def _quarantine_due(self) -> list[Cause]:
-        """Quarantines causes while crashes are left that need explanation.
-
-        While several causes have the same weight, none is chosen, since an
-        answer or a further crash soon tells them apart. After enough crashes
-        one is, first the content of a request, which affects fewest callers.
-        """
+        """Quarantines causes while crashes are left that need explanation."""
         self._evict()
-        quarantined: list[Cause] = []
-        while True:
-            cause = self._strongest()
-            if cause is None:
-                return quarantined
-            self._evidence[cause].is_quarantined = True
-            quarantined.append(cause)
-
-    def _strongest(self) -> Cause | None:
-        """Returns the cause to quarantine next, None without any."""
-        explained = self._explained()
-        weights = {
-            cause: weigh_crashes(_unexplained(evidence, explained))
-            for cause, evidence in self._evidence.items()
-            if not evidence.is_quarantined
-        }
-        weight = max(weights.values(), default=Weight(0, 0))
-        equal = [cause for cause in weights if weights[cause] == weight]
-        is_due = weight.crashes >= CRASHES_TO_QUARANTINE or (
-            weight.upstreams >= UPSTREAMS_TO_QUARANTINE and len(equal) == 1
+        now_s = self._now_s()
+        guilty = list(
+            find_guilty(
+                Suspect(
+                    cause,
+                    evidence.uncleared,
+                    self._answered_age_s(cause, evidence, now_s) is not None,
+                    evidence.is_quarantined,
+                )
+                for cause, evidence in self._evidence.items()
+            )
         )
-        if not is_due:
-            return None
-        return max(equal, key=lambda cause: (not cause.is_part, cause))
+        for cause in guilty:
+            self._evidence[cause].is_quarantined = True
+        return guilty
 
     def _evict(self) -> None:
         """Drops the oldest causes above the capacity, quarantined ones last."""
--- /dev/null
+++ b/src/masticstage/forwarding/crashes/verdicts.py
@@ -0,0 +1,123 @@
+"""Decides which causes explain crashes.
+
+A complete answer on a cause proves that it is sound, whatever else crashed
+beside it later.  So causes that were answered are blamed only for what no cause
+without an answer explains.
+"""
+
+from collections.abc import Iterable, Iterator
+from functools import partial
+from typing import Final
+
+import attrs
+
+from masticstage.forwarding.crashes.causes import (
+    Cause,
+    Weight,
+    weigh_crashes,
+)
+
+#: A cause is quarantined after unexplained crashes of so many upstreams, or of
+#: fewer if one alone has crashed so often. An upstream that goes down again and
+#: again breaks what is often sent to it, whatever that is.
+UPSTREAMS_TO_QUARANTINE: Final = 3
+CRASHES_TO_QUARANTINE: Final = 5
+#: Crashes of a cause that are no coincidence.
+_RECURRING: Final = 2
+
+
+@attrs.frozen
+class Suspect:
+    """A cause, the crashes that speak against it, and whether it was answered.
+
+    `is_quarantined` is the decision until now.
+    """
+
+    cause: Cause
+    crashes: frozenset[int]
+    is_answered: bool
+    is_quarantined: bool
+
+
+def find_guilty(suspects: Iterable[Suspect]) -> Iterator[Cause]:
+    """Returns the causes to quarantine besides those that are quarantined.
+
+    While several causes have the same crashes, none is chosen, since an answer
+    or a further crash soon tells them apart. After enough crashes one is, first
+    the content of a request, which affects fewest callers.
+    """
+    known = list(suspects)
+    explained = _join(one for one in known if one.is_quarantined)
+    open_cases = [one for one in known if not one.is_quarantined]
+    unanswered = [one for one in open_cases if not one.is_answered]
+    for suspect in _choose(unanswered, open_cases, explained):
+        explained |= suspect.crashes
+        yield suspect.cause
+    recurring = _join(
+        one for one in unanswered if len(one.crashes) >= _RECURRING
+    )
+    answered = [one for one in open_cases if one.is_answered]
+    for suspect in _choose(answered, answered, explained | recurring):
+        yield suspect.cause
+
+
+def _choose(
+    suspects: Iterable[Suspect],
+    rivals: Iterable[Suspect],
+    explained: frozenset[int],
+) -> Iterator[Suspect]:
+    """Chooses suspects while crashes are left that need explanation."""
+    frequent = [one for one in suspects if _is_frequent(one.crashes)]
+    strong_rivals = [one for one in rivals if _is_frequent(one.crashes)]
+    while True:
+        due = [
+            one
+            for one in frequent
+            if _is_due(one, one.crashes - explained, strong_rivals)
+        ]
+        if not due:
+            return
+        chosen = max(due, key=partial(_rank, explained))
+        yield chosen
+        explained |= chosen.crashes
+
+
+def _is_due(
+    suspect: Suspect, unexplained: frozenset[int], rivals: list[Suspect]
+) -> bool:
+    """Returns whether the unexplained crashes suffice for a quarantine."""
+    if not _is_frequent(unexplained):
+        return False
+    if len(unexplained) >= CRASHES_TO_QUARANTINE:
+        return True
+    equal = [
+        rival
+        for rival in rivals
+        if rival is not suspect and rival.crashes >= suspect.crashes
+    ]
+    return not equal or any(
+        len(rival.crashes) >= CRASHES_TO_QUARANTINE for rival in equal
+    )
+
+
+def _is_frequent(crashes: frozenset[int]) -> bool:
+    """Returns whether there are enough crashes to blame one cause alone."""
+    weight = weigh_crashes(crashes)
+    return (
+        weight.upstreams >= UPSTREAMS_TO_QUARANTINE
+        or weight.crashes >= CRASHES_TO_QUARANTINE
+    )
+
+
+def _rank(
+    explained: frozenset[int], suspect: Suspect
+) -> tuple[Weight, bool, Cause]:
+    """Returns the key by which the greatest is quarantined first."""
+    cause = suspect.cause
+    weight = weigh_crashes(suspect.crashes - explained)
+    return (weight, not cause.is_part, cause)
+
+
+def _join(suspects: Iterable[Suspect]) -> frozenset[int]:
+    """Returns the crashes of all suspects."""
+    return frozenset(crash for one in suspects for crash in one.crashes)
--- a/tests/edges/test_messages.py
+++ b/tests/edges/test_messages.py
@@ -1,4 +1,4 @@
-"""Tests of converting loads to and from the messages of peers."""
+"""Tests of converting what peers tell each other to and from messages."""
 
 import pytest
 from hypothesis import given
@@ -6,14 +6,18 @@
 
 from masticstage import peer_pb2 as pb
 from masticstage.edges.messages import (
+    decode_cause,
     decode_load,
     decode_prefixes,
+    encode_cause,
     encode_load,
     encode_prefix,
     hash_name,
     pack_loads,
     unpack_loads,
 )
+from masticstage.forwarding.crashes.causes import Cause
+from masticstage.forwarding.crashes.crash_causes import CauseReport
 from masticstage.forwarding.health import Outcomes
 from masticstage.forwarding.loads import SharedLoad
 from masticstage.forwarding.prefix_reports import PrefixReport
@@ -111,3 +115,16 @@
 def test_lists_that_do_not_fit_together_are_refused(packed):
     with pytest.raises(ValueError):
         unpack_loads(packed, {1: 'a', 2: 'b'})
+
+
+@pytest.mark.parametrize('answered_age_s', [None, 0, 12.5])
+def test_a_cause_of_crashes_is_the_same_after_its_way(answered_age_s):
+    report = CauseReport(
+        Cause(is_part=True, digest=7),
+        frozenset((1, 2)),
+        frozenset((3,)),
+        4.5,
+        answered_age_s,
+    )
+
+    assert decode_cause(encode_cause(report)) == report
--- a/tests/forwarding/crashes/test_crash_causes.py
+++ b/tests/forwarding/crashes/test_crash_causes.py
@@ -18,11 +18,13 @@
     _CAPACITY,
     _MAX_CRASHES,
     _MAX_REPORTS,
-    CRASHES_TO_QUARANTINE,
-    UPSTREAMS_TO_QUARANTINE,
     CauseReport,
     CrashCauses,
 )
+from masticstage.forwarding.crashes.verdicts import (
+    CRASHES_TO_QUARANTINE,
+    UPSTREAMS_TO_QUARANTINE,
+)
 from tests.forwarding_builders import (
     SECOND,
     build_prompt,
@@ -187,6 +189,71 @@
     assert not evidence.causes.find_quarantined((_COMMON,))
 
 
+@pytest.mark.parametrize('first_digest', [0, 9])
+def test_a_part_that_was_answered_before_a_pause_is_not_quarantined(
+    first_digest,
+):
+    """Guards against a pause in which sound prompts lose their first part.
+
+    All crashes have the first part and the deadly one, with ids in either
+    order.
+    """
+    evidence = _build_evidence()
+    first = Cause(is_part=True, digest=first_digest)
+    evidence.causes.record_answer(frozenset((first, _request_cause(0))))
+    evidence.clock.advance(10 * SECOND)
+    for crash in range(CRASHES_TO_QUARANTINE):
+        causes = frozenset((first, _DEADLY, _request_cause(crash)))
+        evidence.crash(crash, causes=causes)
+
+    assert evidence.causes.quarantined() == [_DEADLY]
+
+
+def test_answers_that_a_peer_saw_speak_for_a_part():
+    """Guards against refusals of a sound part at an instance that is new."""
+    fresh, old = _build_evidence(), _build_evidence()
+    old.causes.record_answer(frozenset((_COMMON,)))
+    for side in (fresh, old):
+        side.clock.advance(10 * SECOND)
+    beside = frozenset((_COMMON, _DEADLY))
+    fresh.crash(1, 2, 3, 4, causes=beside)
+    assert not fresh.causes.quarantined()
+    old.crash(5, causes=beside)
+
+    assert old.causes.learn(fresh.causes.reports()) == [_DEADLY]
+    assert fresh.causes.learn(old.causes.reports()) == [_DEADLY]
+
+
+def test_the_age_of_an_answer_does_not_shrink_on_its_way():
+    """Guards against answers that seem later than the crash after them."""
+    first, second = _build_evidence(), _build_evidence()
+    first.causes.record_answer(frozenset((_COMMON,)))
+    for side in (first, second):
+        side.clock.advance(10 * SECOND)
+    second.crash(1, 2, 3, 4, 5, causes=frozenset((_COMMON,)))
+    for _ in range(9):
+        news = second.causes.reports()
+        for side in (first, second):
+            side.clock.advance(SECOND)
+        first.causes.learn(news)
+        second.causes.learn(first.causes.reports())
+
+    assert second.causes.quarantined() == [_COMMON]
+
+
+def test_many_answers_do_not_displace_one_that_is_repeated():
+    """Guards against contents of requests that displace a common part."""
+    evidence = _build_evidence()
+    for _ in range(2):
+        evidence.causes.record_answer(frozenset((_COMMON,)))
+    for number in range(2 * _CAPACITY):
+        evidence.causes.record_answer(frozenset((_request_cause(number),)))
+    evidence.clock.advance(10 * SECOND)
+
+    beside = frozenset((_COMMON, _DEADLY))
+    assert evidence.crash(1, 2, 3, 4, 5, causes=beside) == [_DEADLY]
+
+
 def test_a_part_that_turns_deadly_is_quarantined_soon():
     evidence = _build_evidence()
     evidence.causes.record_answer(frozenset((_COMMON,)))
