Of equal parts that were never answered, quarantine the last

What callers saw: before any sound prompt was answered, a deadly part made the instances refuse all prompts with the same first part, in half of all cases.

Cause: among causes with the same crashes the greater id was chosen, which says nothing about the crashes.

Evidence: the new test with one or two parts before the deadly one and ids in each order failed in 7 of 12 cases, always with the part of the greatest id.

Why this works: parts are a chain, so a later part has fewer callers in common. Requests with the earlier ones still run; their answers or crashes show which part it is, while a quarantine of the first part ends all evidence. Instances tell each other the place of a part (CrashCause.depth).

--- a/src/masticstage/edges/messages.py
+++ b/src/masticstage/edges/messages.py
@@ -165,13 +165,14 @@
             if report.answered_age_s is None
             else _to_uint32(report.answered_age_s * _MS_PER_S)
         ),
+        depth=report.cause.depth,
     )
 
 
 def decode_cause(message: pb.CrashCause) -> CauseReport:
     """Returns what a peer knows about a cause of crashes."""
     return CauseReport(
-        Cause(message.is_part, message.digest),
+        Cause(message.is_part, message.digest, message.depth),
         frozenset(message.uncleared),
         frozenset(message.cleared),
         message.age_ms / _MS_PER_S,
--- a/src/masticstage/forwarding/crashes/causes.py
+++ b/src/masticstage/forwarding/crashes/causes.py
@@ -16,10 +16,23 @@
 
 @attrs.frozen(order=True)
 class Cause:
-    """A possible cause of crashes: a prompt part, or a request's content."""
+    """A possible cause of crashes: a prompt part, or a request's content.
+
+    `depth` is the number of parts before a part; the same part may be known
+    with several.
+    """
 
     is_part: bool
     digest: int
+    depth: int = attrs.field(default=0, eq=False, order=False)
+
+    @property
+    def narrowness(self) -> tuple[bool, int]:
+        """How few callers it has in common; the greater, the fewer.
+
+        The content of a request has fewest, a part fewer than those before it.
+        """
+        return (not self.is_part, self.depth)
 
     def __str__(self) -> str:
         """Returns the kind and the digest in hexadecimal, for logs."""
@@ -45,8 +58,8 @@
     """
     whole = Cause(is_part=False, digest=_parse_digest(fingerprint))
     parts = (
-        Cause(is_part=True, digest=_parse_digest(part.part_id))
-        for part in request.prompt.shared_prefix
+        Cause(is_part=True, digest=_parse_digest(part.part_id), depth=depth)
+        for depth, part in enumerate(request.prompt.shared_prefix)
     )
     return frozenset((whole, *parts))
 
--- a/src/masticstage/forwarding/crashes/verdicts.py
+++ b/src/masticstage/forwarding/crashes/verdicts.py
@@ -43,8 +43,8 @@
     """Returns the causes to quarantine besides those that are quarantined.
 
     While several causes have the same crashes, none is chosen, since an answer
-    or a further crash soon tells them apart. After enough crashes one is, first
-    the content of a request, which affects fewest callers.
+    or a further crash soon tells them apart. After enough crashes the narrowest
+    is: requests with the others still run, which shows whether they are sound.
     """
     known = list(suspects)
     explained = _join(one for one in known if one.is_quarantined)
@@ -111,11 +111,11 @@
 
 def _rank(
     explained: frozenset[int], suspect: Suspect
-) -> tuple[Weight, bool, Cause]:
+) -> tuple[Weight, tuple[bool, int], Cause]:
     """Returns the key by which the greatest is quarantined first."""
     cause = suspect.cause
     weight = weigh_crashes(suspect.crashes - explained)
-    return (weight, not cause.is_part, cause)
+    return (weight, cause.narrowness, cause)
 
 
 def _join(suspects: Iterable[Suspect]) -> frozenset[int]:
--- a/tests/edges/test_messages.py
+++ b/tests/edges/test_messages.py
@@ -120,11 +120,13 @@
 @pytest.mark.parametrize('answered_age_s', [None, 0, 12.5])
 def test_a_cause_of_crashes_is_the_same_after_its_way(answered_age_s):
     report = CauseReport(
-        Cause(is_part=True, digest=7),
+        Cause(is_part=True, digest=7, depth=2),
         frozenset((1, 2)),
         frozenset((3,)),
         4.5,
         answered_age_s,
     )
 
-    assert decode_cause(encode_cause(report)) == report
+    decoded = decode_cause(encode_cause(report))
+    assert decoded == report
+    assert decoded.cause.depth == 2
--- a/tests/forwarding/crashes/test_crash_causes.py
+++ b/tests/forwarding/crashes/test_crash_causes.py
@@ -1,6 +1,7 @@
 """Tests of finding what the requests that crash upstreams have in common."""
 
 from datetime import timedelta
+from itertools import permutations
 from random import Random
 
 import attrs
@@ -139,6 +140,25 @@
     assert evidence.crash(*upstreams, causes=causes) == [_request_cause(1)]
 
 
+@pytest.mark.parametrize('digests', list(permutations((1, 5, 9))))
+@pytest.mark.parametrize('before', [1, 2])
+def test_of_equal_parts_the_last_is_quarantined(before, digests):
+    """Guards against a choice by ids, which refuses all sound prompts.
+
+    None of the parts was ever answered.
+    """
+    evidence = _build_evidence()
+    parts = [
+        Cause(is_part=True, digest=digest, depth=depth)
+        for depth, digest in enumerate(digests[: before + 1])
+    ]
+    for crash in range(CRASHES_TO_QUARANTINE):
+        causes = frozenset((*parts, _request_cause(crash)))
+        evidence.crash(crash, causes=causes)
+
+    assert evidence.causes.quarantined() == parts[-1:]
+
+
 def test_a_quarantined_cause_explains_crashes_of_other_causes():
     evidence = _build_evidence()
     evidence.crash(1, 2, 3, causes=frozenset((_DEADLY,)))
@@ -309,6 +329,7 @@
     causes = possible_causes(request, request.fingerprint())
 
     assert {cause.digest for cause in causes if cause.is_part} == {0xA1}
+    assert {cause.depth for cause in causes} == {0}
     assert sum(not cause.is_part for cause in causes) == 1
 
 
