Compare only causes of two crashes or more

Cause: each crash made a record of each of up to 4,096 causes, most of which have one crash and can neither be quarantined nor excuse another.

Change: these are left out before the comparison.

--- a/src/masticstage/forwarding/crashes/crash_causes.py
+++ b/src/masticstage/forwarding/crashes/crash_causes.py
@@ -20,7 +20,11 @@
     Causes,
     weigh_crashes,
 )
-from masticstage.forwarding.crashes.verdicts import Suspect, find_guilty
+from masticstage.forwarding.crashes.verdicts import (
+    RECURRING,
+    Suspect,
+    find_guilty,
+)
 
 #: A cause whose requests were answered this short a time before a crash is not
 #: blamed for it. Otherwise several crashes within a second would be blamed on
@@ -312,6 +316,7 @@
                     evidence.is_quarantined,
                 )
                 for cause, evidence in self._evidence.items()
+                if len(evidence.crashes) >= RECURRING
             )
         )
         for cause in guilty:
--- a/src/masticstage/forwarding/crashes/verdicts.py
+++ b/src/masticstage/forwarding/crashes/verdicts.py
@@ -22,8 +22,8 @@
 #: again breaks what is often sent to it, whatever that is.
 UPSTREAMS_TO_QUARANTINE: Final = 3
 CRASHES_TO_QUARANTINE: Final = 5
-#: Crashes of a cause that are no coincidence.
-_RECURRING: Final = 2
+#: Crashes of a cause that are no coincidence; one with fewer is no suspect.
+RECURRING: Final = 2
 
 
 @attrs.frozen
@@ -54,7 +54,7 @@
         explained |= suspect.crashes
         yield suspect.cause
     recurring = _join(
-        one for one in unanswered if len(one.crashes) >= _RECURRING
+        one for one in unanswered if len(one.crashes) >= RECURRING
     )
     answered = [one for one in open_cases if one.is_answered]
     for suspect in _choose(answered, answered, explained | recurring):
