Review a quarantine when evidence explains the crashes better

What callers saw: once a sound part was quarantined it stayed so for an hour after the last crash, at every instance or at one alone: its requests are refused, so that no answer can clear it, and crashes of the deadly part elsewhere changed nothing.

Cause: a quarantine was never compared again. Crashes while it holds were recorded for the quarantined cause alone, and what peers reported later only added to the others. An instance that decided from a part of the evidence kept its choice.

Three new tests fail on the commit before: a rival in a further crash, less evidence, an earlier answer that a peer saw.

Why this works: with each new piece of evidence a quarantine ends if a narrower cause has all the same crashes, a rival at the choice has further ones, or the cause was answered and recurring causes without an answer leave too few crashes for it. Rivals are blamed for crashes while the quarantine holds. The log has quarantine_ended with the instance whose report led to it.

--- a/src/masticstage/edges/crash_evidence.py
+++ b/src/masticstage/edges/crash_evidence.py
@@ -35,9 +35,6 @@
 
 def record_answer(gateway: Gateway, causes: Causes) -> None:
     """Records a complete answer, which clears causes of crashes."""
-    released = gateway.views.crash_causes.find_quarantined(causes)
-    if released is not None:
-        gateway.log.record('quarantine_ended', cause=str(released))
     record_quarantined(
         gateway, gateway.views.crash_causes.record_answer(causes)
     )
@@ -46,11 +43,13 @@
 def record_quarantined(
     gateway: Gateway, causes: Iterable[Cause], source: str = ''
 ) -> None:
-    """Logs causes of crashes that are refused from now on.
+    """Logs causes of crashes that are refused from now on, or not any longer.
 
-    `source` is the instance whose report led to that, empty for a crash that
-    was seen here.
+    `source` is the instance whose report led to that, empty for a crash or an
+    answer that was seen here.
     """
+    for ended in gateway.views.crash_causes.collect_ended():
+        gateway.log.record('quarantine_ended', cause=str(ended), source=source)
     for cause in causes:
         finding = gateway.views.crash_causes.describe(cause)
         gateway.metrics.count('quarantined')
--- a/src/masticstage/forwarding/crashes/crash_causes.py
+++ b/src/masticstage/forwarding/crashes/crash_causes.py
@@ -6,7 +6,7 @@
 is quarantined.  All instances merge their evidence, in any order.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from math import inf
 from random import Random
 from typing import Final, final
@@ -20,24 +20,23 @@
     Causes,
     weigh_crashes,
 )
+from masticstage.forwarding.crashes.evidence import LIFETIME_S, Evidence
 from masticstage.forwarding.crashes.verdicts import (
     RECURRING,
     Suspect,
     find_guilty,
+    find_overruled,
 )
 
 #: A cause whose requests were answered this short a time before a crash is not
 #: blamed for it. Otherwise several crashes within a second would be blamed on
 #: what all prompts share, before any of their answers is complete.
 _TRUSTED_FOR_S: Final = 2.0
-#: Time after the last crash for which evidence and a quarantine are valid.
-_LIFETIME_S: Final = 3600.0
 #: Time for which new evidence is repeated to other instances.
 _SPREAD_S: Final = 30.0
-#: Most causes that are held, causes in a message, and crashes of one cause.
+#: Most causes that are held, and causes in a message.
 _CAPACITY: Final = 4096
 _MAX_REPORTS: Final = 60
-_MAX_CRASHES: Final = 16
 
 
 @attrs.frozen
@@ -74,48 +73,6 @@
     answered_age_s: float | None
 
 
-@attrs.define
-class _Evidence:
-    """Crashes with a cause; times are on the monotonic clock, in seconds.
-
-    `crashes` maps each crash to whether a complete answer followed.
-    `answered_at_s` is when an answer was complete that a peer knows of.
-    """
-
-    last_crash_s: float
-    changed_s: float
-    crashes: dict[int, bool] = attrs.field(factory=dict)
-    is_quarantined: bool = False
-    answered_at_s: float = -inf
-
-    @property
-    def uncleared(self) -> frozenset[int]:
-        """The crashes after which no complete answer was seen."""
-        return frozenset(
-            crash for crash, clear in self.crashes.items() if not clear
-        )
-
-    def add(self, crashes: Iterable[int]) -> bool:
-        """Adds crashes; returns whether any is new."""
-        new = [crash for crash in crashes if crash not in self.crashes]
-        self.crashes.update(dict.fromkeys(new, False))
-        self._drop_oldest()
-        return bool(new)
-
-    def clear(self, crashes: Iterable[int]) -> bool:
-        """Clears crashes; returns whether any was not cleared before."""
-        new = [crash for crash in crashes if not self.crashes.get(crash)]
-        self.crashes.update(dict.fromkeys(new, True))
-        self._drop_oldest()
-        if not self.uncleared:
-            self.is_quarantined = False
-        return bool(new)
-
-    def _drop_oldest(self) -> None:
-        while len(self.crashes) > _MAX_CRASHES:
-            self.crashes.pop(next(iter(self.crashes)))
-
-
 @final
 @attrs.define
 class CrashCauses:
@@ -123,8 +80,9 @@
 
     _clock: Clock
     _random: Random
-    _evidence: dict[Cause, _Evidence] = attrs.field(factory=dict)
+    _evidence: dict[Cause, Evidence] = attrs.field(factory=dict)
     _answers: AnsweredCauses = attrs.field(factory=AnsweredCauses)
+    _ended: list[Cause] = attrs.field(factory=list)
 
     def find_quarantined(self, causes: Iterable[Cause]) -> Cause | None:
         """Returns a quarantined one of the causes, None without any."""
@@ -134,6 +92,15 @@
         """Returns all quarantined causes."""
         return self._quarantined_among(self._evidence)
 
+    def collect_ended(self) -> list[Cause]:
+        """Returns causes whose quarantine has ended since the last call.
+
+        Those whose time is over are not among them.
+        """
+        ended = list(self._ended)
+        self._ended.clear()
+        return ended
+
     def describe(self, cause: Cause) -> Finding:
         """Returns what is known about a cause."""
         evidence = self._evidence.get(cause)
@@ -155,18 +122,19 @@
     def record_crash(self, crash: int, causes: Causes) -> list[Cause]:
         """Records a crash of an upstream that ran requests with the causes.
 
-        If one of them is quarantined, it explains the crash, and the others
-        are not blamed. Returns the causes that are newly quarantined.
+        If one of them is quarantined, it explains the crash, and only its
+        rivals are blamed as well. Returns the causes that are newly
+        quarantined.
         """
         now_s = self._now_s()
-        for cause in self._quarantined_among(causes) or causes:
+        for cause in self._blamed_among(causes):
             evidence = self._evidence_for(cause, now_s)
             if evidence.add((crash,)):
                 evidence.last_crash_s = now_s
                 evidence.changed_s = now_s
             if self._was_answered(cause, now_s):
                 evidence.clear((crash,))
-        return self._quarantine_due()
+        return self._review()
 
     def record_answer(self, causes: Causes) -> list[Cause]:
         """Records a complete answer, which clears the causes of all crashes.
@@ -181,7 +149,7 @@
             if evidence and evidence.clear(evidence.uncleared):
                 evidence.changed_s = now_s
                 is_changed = True
-        return self._quarantine_due() if is_changed else []
+        return self._review() if is_changed else []
 
     def reports(self) -> list[CauseReport]:
         """Returns evidence for a message, the strongest if there is much.
@@ -193,15 +161,15 @@
             (cause, evidence)
             for cause, evidence in self._evidence.items()
             if now_s - evidence.changed_s < _SPREAD_S
-            or (evidence.is_quarantined and self._is_valid(evidence, now_s))
+            or (evidence.verdict and evidence.is_valid(now_s))
         ]
         if not current:
             return []
-        explained = self._explained()
+        explained = _join_explained(self._evidence.values())
         # In random order, so that several messages have all that are as strong.
         self._random.shuffle(current)
         current.sort(
-            key=lambda entry: weigh_crashes(_unexplained(entry[1], explained)),
+            key=lambda entry: weigh_crashes(entry[1].unexplained(explained)),
             reverse=True,
         )
         return [
@@ -224,9 +192,9 @@
         news = [
             report
             for report in reports
-            if report.age_s < _LIFETIME_S and self._merge(report, now_s)
+            if report.age_s < LIFETIME_S and self._merge(report, now_s)
         ]
-        return self._quarantine_due() if news else []
+        return self._review() if news else []
 
     def _merge(self, report: CauseReport, now_s: float) -> bool:
         """Merges the evidence about one cause; returns whether any is new."""
@@ -245,7 +213,7 @@
         return is_changed
 
     def _learn_answer(
-        self, report: CauseReport, evidence: _Evidence, now_s: float
+        self, report: CauseReport, evidence: Evidence, now_s: float
     ) -> bool:
         """Takes a peer's word that a cause was answered; returns if it is new.
 
@@ -260,27 +228,39 @@
         return True
 
     def _answered_age_s(
-        self, cause: Cause, evidence: _Evidence | None, now_s: float
+        self, cause: Cause, evidence: Evidence | None, now_s: float
     ) -> float | None:
         """Returns the time since a complete answer that counts, or None."""
         heard_at_s = evidence.answered_at_s if evidence else -inf
         age_s = now_s - max(self._answers.last_s(cause), heard_at_s)
-        return age_s if age_s < _LIFETIME_S else None
+        return age_s if age_s < LIFETIME_S else None
 
     def _was_answered(self, cause: Cause, crashed_at_s: float) -> bool:
         """Returns whether an answer speaks against blame for a crash."""
         return self._answers.last_s(cause) > crashed_at_s - _TRUSTED_FOR_S
 
-    def _evidence_for(self, cause: Cause, now_s: float) -> _Evidence:
+    def _evidence_for(self, cause: Cause, now_s: float) -> Evidence:
         """Returns the valid evidence about a cause, empty if there is none."""
         evidence = self._evidence.get(cause)
-        if evidence is None or not self._is_valid(evidence, now_s):
-            evidence = _Evidence(last_crash_s=-inf, changed_s=now_s)
+        if evidence is None or not evidence.is_valid(now_s):
+            evidence = Evidence(last_crash_s=-inf, changed_s=now_s)
             self._evidence[cause] = evidence
         return evidence
 
-    def _is_valid(self, evidence: _Evidence, now_s: float) -> bool:
-        return now_s - evidence.last_crash_s < _LIFETIME_S
+    def _blamed_among(self, causes: Causes) -> Causes:
+        """Returns the causes against which a crash is evidence."""
+        verdicts = [
+            verdict
+            for cause in self._quarantined_among(causes)
+            if (verdict := self._evidence[cause].verdict)
+        ]
+        if not verdicts:
+            return causes
+        return frozenset(
+            cause
+            for verdict in verdicts
+            for cause in (verdict.cause, *(verdict.rivals & causes))
+        )
 
     def _quarantined_among(self, causes: Iterable[Cause]) -> list[Cause]:
         if not self._evidence:
@@ -290,60 +270,71 @@
             cause
             for cause in causes
             if (evidence := self._evidence.get(cause)) is not None
-            and evidence.is_quarantined
-            and self._is_valid(evidence, now_s)
+            and evidence.verdict
+            and evidence.is_valid(now_s)
+        ]
+
+    def _review(self) -> list[Cause]:
+        """Ends quarantines that are not justified, and starts those due.
+
+        Returns the causes that are newly quarantined.
+        """
+        for excess in _find_excess(self._evidence):
+            self._evidence.pop(excess)
+        suspects = self._suspects()
+        overruled = [
+            *(one.cause for one in suspects if not one.crashes),
+            *find_overruled(suspects),
         ]
+        for cause in overruled:
+            if self._evidence[cause].verdict:
+                self._evidence[cause].verdict = None
+                self._ended.append(cause)
+        verdicts = list(
+            find_guilty(self._suspects() if overruled else suspects)
+        )
+        for verdict in verdicts:
+            self._evidence[verdict.cause].verdict = verdict
+        return [verdict.cause for verdict in verdicts]
 
-    def _explained(self) -> set[int]:
-        """Returns the crashes that a quarantined cause explains."""
-        return {
-            crash
-            for evidence in self._evidence.values()
-            if evidence.is_quarantined
-            for crash in evidence.crashes
-        }
-
-    def _quarantine_due(self) -> list[Cause]:
-        """Quarantines causes while crashes are left that need explanation."""
-        self._evict()
+    def _suspects(self) -> list[Suspect]:
+        """Returns the causes that may be blamed for several crashes."""
         now_s = self._now_s()
-        guilty = list(
-            find_guilty(
-                Suspect(
-                    cause,
-                    evidence.uncleared,
-                    self._answered_age_s(cause, evidence, now_s) is not None,
-                    evidence.is_quarantined,
-                )
-                for cause, evidence in self._evidence.items()
-                if len(evidence.crashes) >= RECURRING
+        return [
+            Suspect(
+                cause,
+                evidence.uncleared,
+                self._answered_age_s(cause, evidence, now_s) is not None,
+                evidence.verdict,
             )
-        )
-        for cause in guilty:
-            self._evidence[cause].is_quarantined = True
-        return guilty
-
-    def _evict(self) -> None:
-        """Drops the oldest causes above the capacity, quarantined ones last."""
-        excess = len(self._evidence) - _CAPACITY
-        if excess <= 0:
-            return
-        by_worth = sorted(
-            self._evidence,
-            key=lambda cause: (
-                self._evidence[cause].is_quarantined,
-                self._evidence[cause].last_crash_s,
-            ),
-        )
-        for cause in by_worth[:excess]:
-            self._evidence.pop(cause)
+            for cause, evidence in self._evidence.items()
+            if len(evidence.crashes) >= RECURRING
+        ]
 
     def _now_s(self) -> float:
         return self._clock.elapsed().total_seconds()
 
 
-def _unexplained(evidence: _Evidence, explained: set[int]) -> frozenset[int]:
-    """Returns the crashes that speak against a cause."""
-    if evidence.is_quarantined:
-        return evidence.uncleared
-    return evidence.uncleared - explained
+def _join_explained(known: Iterable[Evidence]) -> frozenset[int]:
+    """Returns the crashes that quarantined causes explain."""
+    return frozenset(
+        crash
+        for evidence in known
+        if evidence.verdict
+        for crash in evidence.crashes
+    )
+
+
+def _find_excess(known: Mapping[Cause, Evidence]) -> list[Cause]:
+    """Returns the oldest causes above the capacity, quarantined ones last."""
+    excess = len(known) - _CAPACITY
+    if excess <= 0:
+        return []
+    by_worth = sorted(
+        known,
+        key=lambda cause: (
+            known[cause].verdict is not None,
+            known[cause].last_crash_s,
+        ),
+    )
+    return by_worth[:excess]
--- a/src/masticstage/forwarding/crashes/verdicts.py
+++ b/src/masticstage/forwarding/crashes/verdicts.py
@@ -26,39 +26,97 @@
 RECURRING: Final = 2
 
 
+@attrs.frozen
+class Verdict:
+    """A cause to quarantine, and its rivals.
+
+    These are causes of all the same crashes, between which nothing but their
+    place in the prompt has decided.
+    """
+
+    cause: Cause
+    rivals: frozenset[Cause] = frozenset()
+
+
 @attrs.frozen
 class Suspect:
     """A cause, the crashes that speak against it, and whether it was answered.
 
-    `is_quarantined` is the decision until now.
+    `verdict` is the decision until now, None while it is not quarantined.
     """
 
     cause: Cause
     crashes: frozenset[int]
     is_answered: bool
-    is_quarantined: bool
+    verdict: Verdict | None
 
 
-def find_guilty(suspects: Iterable[Suspect]) -> Iterator[Cause]:
-    """Returns the causes to quarantine besides those that are quarantined.
+def find_overruled(suspects: Iterable[Suspect]) -> Iterator[Cause]:
+    """Returns quarantined causes that further evidence excuses.
+
+    What an instance learns later, by gossip too, may explain the same crashes
+    better: a narrower cause of all of them, a rival that is in further ones, or
+    for a cause that was answered any that recurs.
+    """
+    known = list(suspects)
+    unanswered = [one for one in known if not one.is_answered]
+    recurring = _join(
+        one for one in unanswered if len(one.crashes) >= RECURRING
+    )
+    for suspect in known:
+        if suspect.verdict is None:
+            continue
+        if suspect.is_answered:
+            is_overruled = not _is_frequent(suspect.crashes - recurring)
+        else:
+            is_overruled = any(
+                _overrules(other, suspect, suspect.verdict)
+                for other in unanswered
+            )
+        if is_overruled:
+            yield suspect.cause
+
+
+def find_guilty(suspects: Iterable[Suspect]) -> Iterator[Verdict]:
+    """Returns what to quarantine besides the causes that are quarantined.
 
     While several causes have the same crashes, none is chosen, since an answer
     or a further crash soon tells them apart. After enough crashes the narrowest
     is: requests with the others still run, which shows whether they are sound.
     """
     known = list(suspects)
-    explained = _join(one for one in known if one.is_quarantined)
-    open_cases = [one for one in known if not one.is_quarantined]
+    explained = _join(one for one in known if one.verdict)
+    open_cases = [one for one in known if not one.verdict]
     unanswered = [one for one in open_cases if not one.is_answered]
     for suspect in _choose(unanswered, open_cases, explained):
         explained |= suspect.crashes
-        yield suspect.cause
+        yield _judge(suspect, unanswered)
     recurring = _join(
         one for one in unanswered if len(one.crashes) >= RECURRING
     )
     answered = [one for one in open_cases if one.is_answered]
     for suspect in _choose(answered, answered, explained | recurring):
-        yield suspect.cause
+        yield _judge(suspect, answered)
+
+
+def _judge(suspect: Suspect, rivals: Iterable[Suspect]) -> Verdict:
+    return Verdict(
+        suspect.cause,
+        frozenset(
+            rival.cause
+            for rival in rivals
+            if rival is not suspect and rival.crashes == suspect.crashes
+        ),
+    )
+
+
+def _overrules(other: Suspect, suspect: Suspect, verdict: Verdict) -> bool:
+    """Returns whether another cause explains crashes better."""
+    if len(suspect.crashes) < CRASHES_TO_QUARANTINE:
+        return False
+    if other.crashes == suspect.crashes:
+        return other.cause.narrowness > suspect.cause.narrowness
+    return other.cause in verdict.rivals and other.crashes > suspect.crashes
 
 
 def _choose(
--- a/tests/forwarding/crashes/test_crash_causes.py
+++ b/tests/forwarding/crashes/test_crash_causes.py
@@ -17,11 +17,11 @@
 )
 from masticstage.forwarding.crashes.crash_causes import (
     _CAPACITY,
-    _MAX_CRASHES,
     _MAX_REPORTS,
     CauseReport,
     CrashCauses,
 )
+from masticstage.forwarding.crashes.evidence import MAX_CRASHES
 from masticstage.forwarding.crashes.verdicts import (
     CRASHES_TO_QUARANTINE,
     UPSTREAMS_TO_QUARANTINE,
@@ -159,6 +159,53 @@
     assert evidence.causes.quarantined() == parts[-1:]
 
 
+def _part(digest, depth):
+    return Cause(is_part=True, digest=digest, depth=depth)
+
+
+def test_a_quarantine_passes_to_a_rival_that_is_in_a_further_crash():
+    """Guards against a wrong choice among equals that is never reviewed.
+
+    The deadly part comes before the one that was chosen, which some crash has
+    while it is quarantined.
+    """
+    evidence = _build_evidence()
+    first, deadly, last = _part(3, 0), _part(2, 1), _part(1, 2)
+    everything = frozenset((first, deadly, last))
+    evidence.crash(1, 2, 3, 4, 5, causes=everything)
+    evidence.crash(6, causes=everything)
+    assert evidence.causes.quarantined() == [last]
+
+    behind = frozenset((first, deadly, _part(4, 2)))
+    assert evidence.crash(7, causes=behind) == [deadly]
+    assert evidence.causes.quarantined() == [deadly]
+    assert evidence.causes.collect_ended() == [last]
+
+
+def test_a_choice_from_less_evidence_ends_with_the_rest_of_it():
+    """Guards against a quarantine that only some instances have."""
+    evidence = _build_evidence()
+    first, deadly = _part(9, 0), _part(1, 1)
+    evidence.causes.learn([_report(first, 1, 2, 3, 4, 5), _report(deadly, 1)])
+    assert evidence.causes.quarantined() == [first]
+
+    assert evidence.causes.learn([_report(deadly, 1, 2, 3, 4, 5)]) == [deadly]
+    assert evidence.causes.quarantined() == [deadly]
+
+
+def test_a_quarantine_ends_if_a_peer_saw_an_earlier_answer():
+    """Guards against refusals at an instance that has seen no answer."""
+    evidence = _build_evidence()
+    beside = [_report(_DEADLY, 1, 2, 3)]
+    evidence.causes.learn([_report(_COMMON, 1, 2, 3, 4), *beside])
+    assert evidence.causes.quarantined() == [_COMMON]
+
+    answered = attrs.evolve(_report(_COMMON, 1, 2, 3, 4), answered_age_s=9)
+    evidence.causes.learn([answered])
+    assert not evidence.causes.find_quarantined((_COMMON,))
+    assert evidence.causes.learn([_report(_DEADLY, 4, 5)]) == [_DEADLY]
+
+
 def test_a_quarantined_cause_explains_crashes_of_other_causes():
     evidence = _build_evidence()
     evidence.crash(1, 2, 3, causes=frozenset((_DEADLY,)))
@@ -315,13 +362,13 @@
     evidence.crash(1, 2, 3, causes=deadly)
     for number in range(2 * _CAPACITY):
         evidence.crash(number, causes=frozenset((_request_cause(number),)))
-    evidence.crash(*range(4 * _MAX_CRASHES), causes=deadly)
+    evidence.crash(*range(4 * MAX_CRASHES), causes=deadly)
 
     reports = evidence.causes.reports()
     assert len(evidence.causes._evidence) == _CAPACITY
     assert len(reports) == _MAX_REPORTS
     assert reports[0].cause == _DEADLY
-    assert len(reports[0].uncleared) == _MAX_CRASHES
+    assert len(reports[0].uncleared) == MAX_CRASHES
 
 
 def test_causes_of_a_request_are_its_content_and_all_parts_but_the_last():
