Repeat answers to a peer that still reports the crashes alone

What callers saw: an instance that was cut off, or stood still, for over 30 s while a quarantined part was answered elsewhere went on to refuse it for up to an hour.

Cause: evidence is repeated for 30 s after it changed, a quarantine for as long as it holds. The peers that knew of the answer had fallen silent about it.

Why this works: a report without an answer that is known here, or with crashes that an answer followed, shows that the sender is behind, so the cause is told again for 30 s.

--- a/src/masticstage/forwarding/crashes/answers.py
+++ b/src/masticstage/forwarding/crashes/answers.py
@@ -15,6 +15,10 @@
 
 #: Most causes of each kind: answered once, and more often.
 _CAPACITY: Final = 4096
+#: A cause whose requests were answered this short a time before a crash is not
+#: blamed for it. Otherwise several crashes within a second would be blamed on
+#: what all prompts share, before any of their answers is complete.
+_TRUSTED_FOR_S: Final = 2.0
 
 
 @final
@@ -43,3 +47,7 @@
         """Returns when a cause was last answered, minus infinity if never."""
         repeated_s = self._repeated.get(cause)
         return self._once.get(cause, -inf) if repeated_s is None else repeated_s
+
+    def excuse(self, cause: Cause, crashed_at_s: float) -> bool:
+        """Returns whether an answer was as late as a crash, or nearly so."""
+        return self.last_s(cause) > crashed_at_s - _TRUSTED_FOR_S
--- a/src/masticstage/forwarding/crashes/crash_causes.py
+++ b/src/masticstage/forwarding/crashes/crash_causes.py
@@ -28,10 +28,6 @@
     find_overruled,
 )
 
-#: A cause whose requests were answered this short a time before a crash is not
-#: blamed for it. Otherwise several crashes within a second would be blamed on
-#: what all prompts share, before any of their answers is complete.
-_TRUSTED_FOR_S: Final = 2.0
 #: Time for which new evidence is repeated to other instances.
 _SPREAD_S: Final = 30.0
 #: Most causes that are held, and causes in a message.
@@ -132,7 +128,7 @@
             if evidence.add((crash,)):
                 evidence.last_crash_s = now_s
                 evidence.changed_s = now_s
-            if self._was_answered(cause, now_s):
+            if self._answers.excuse(cause, now_s):
                 evidence.clear((crash,))
         return self._review()
 
@@ -199,11 +195,14 @@
     def _merge(self, report: CauseReport, now_s: float) -> bool:
         """Merges the evidence about one cause; returns whether any is new."""
         evidence = self._evidence_for(report.cause, now_s)
+        if self._is_behind(report, evidence, now_s):
+            # Repeats what is known here to the sender.
+            evidence.changed_s = now_s
         is_new_answer = self._learn_answer(report, evidence, now_s)
         crashed_at_s = now_s - report.age_s
         has_new_crash = evidence.add(report.uncleared | report.cleared)
         is_cleared = evidence.clear(report.cleared)
-        if self._was_answered(report.cause, crashed_at_s):
+        if self._answers.excuse(report.cause, crashed_at_s):
             is_cleared = evidence.clear(evidence.uncleared) or is_cleared
         if has_new_crash:
             evidence.last_crash_s = max(evidence.last_crash_s, crashed_at_s)
@@ -212,6 +211,15 @@
             evidence.changed_s = now_s
         return is_changed
 
+    def _is_behind(
+        self, report: CauseReport, evidence: Evidence, now_s: float
+    ) -> bool:
+        """Returns whether a peer lacks an answer that is known here."""
+        if any(map(evidence.crashes.get, report.uncleared)):
+            return True
+        known_age_s = self._answered_age_s(report.cause, evidence, now_s)
+        return report.answered_age_s is None and known_age_s is not None
+
     def _learn_answer(
         self, report: CauseReport, evidence: Evidence, now_s: float
     ) -> bool:
@@ -235,10 +243,6 @@
         age_s = now_s - max(self._answers.last_s(cause), heard_at_s)
         return age_s if age_s < LIFETIME_S else None
 
-    def _was_answered(self, cause: Cause, crashed_at_s: float) -> bool:
-        """Returns whether an answer speaks against blame for a crash."""
-        return self._answers.last_s(cause) > crashed_at_s - _TRUSTED_FOR_S
-
     def _evidence_for(self, cause: Cause, now_s: float) -> Evidence:
         """Returns the valid evidence about a cause, empty if there is none."""
         evidence = self._evidence.get(cause)
--- a/tests/forwarding/crashes/test_crash_causes.py
+++ b/tests/forwarding/crashes/test_crash_causes.py
@@ -231,6 +231,31 @@
     assert not second.causes.quarantined()
 
 
+@pytest.mark.parametrize('is_cleared', [True, False])
+def test_an_instance_that_comes_back_from_a_cut_ends_its_quarantine(is_cleared):
+    """Guards against refusals for an hour where the answer was missed.
+
+    It was complete after the crashes, or already before them.
+    """
+    cut_off, other = _build_evidence(), _build_evidence()
+    if not is_cleared:
+        other.causes.record_answer(frozenset((_COMMON,)))
+    for side in (cut_off, other):
+        side.clock.advance(10 * SECOND)
+        side.crash(1, 2, 3, 4, 5, causes=frozenset((_COMMON, _DEADLY)))
+    if is_cleared:
+        other.causes.record_answer(frozenset((_COMMON,)))
+    assert cut_off.causes.quarantined() == [_COMMON]
+    for side in (cut_off, other):
+        side.clock.advance(40 * SECOND)
+
+    other.causes.learn(cut_off.causes.reports())
+    cut_off.causes.learn(other.causes.reports())
+
+    assert cut_off.causes.quarantined() == [_DEADLY]
+    assert other.causes.quarantined() == [_DEADLY]
+
+
 def test_an_answer_clears_crashes_until_a_moment_after_it():
     """The crashes are seen by another instance."""
     evidence = _build_evidence()
