Blame what narrower causes explain together on them

What callers saw: with two deadly parts before any sound prompt was answered, the part that all prompts begin with was quarantined, and all of them refused for an hour.

Cause: the first part is in the crashes of both, so that it reached three upstreams first, and it alone had all crashes.

Why this works: narrower causes that recur are set against a broader one, three crashes count without theirs, five if more than one is left. A wrong narrow choice lets other requests with the broad part run, which shows the fault; a broad one lets none.

--- a/src/masticstage/forwarding/crashes/crash_causes.py
+++ b/src/masticstage/forwarding/crashes/crash_causes.py
@@ -286,16 +286,19 @@
         for excess in _find_excess(self._evidence):
             self._evidence.pop(excess)
         suspects = self._suspects()
-        overruled = [
-            *(one.cause for one in suspects if not one.crashes),
-            *find_overruled(suspects),
-        ]
+        overruled = {one.cause for one in suspects if not one.crashes}
+        overruled.update(find_overruled(suspects))
         for cause in overruled:
             if self._evidence[cause].verdict:
                 self._evidence[cause].verdict = None
                 self._ended.append(cause)
         verdicts = list(
-            find_guilty(self._suspects() if overruled else suspects)
+            find_guilty(
+                attrs.evolve(one, verdict=self._evidence[one.cause].verdict)
+                for one in suspects
+                # Those that excuse a cause are chosen before it is again.
+                if one.is_answered or one.cause not in overruled
+            )
         )
         for verdict in verdicts:
             self._evidence[verdict.cause].verdict = verdict
--- a/src/masticstage/forwarding/crashes/verdicts.py
+++ b/src/masticstage/forwarding/crashes/verdicts.py
@@ -127,11 +127,12 @@
     """Chooses suspects while crashes are left that need explanation."""
     frequent = [one for one in suspects if _is_frequent(one.crashes)]
     strong_rivals = [one for one in rivals if _is_frequent(one.crashes)]
+    recurring = [one for one in suspects if len(one.crashes) >= RECURRING]
     while True:
         due = [
             one
             for one in frequent
-            if _is_due(one, one.crashes - explained, strong_rivals)
+            if _is_due(one, explained, recurring, strong_rivals)
         ]
         if not due:
             return
@@ -141,20 +142,36 @@
 
 
 def _is_due(
-    suspect: Suspect, unexplained: frozenset[int], rivals: list[Suspect]
+    suspect: Suspect,
+    explained: frozenset[int],
+    recurring: list[Suspect],
+    rivals: list[Suspect],
 ) -> bool:
-    """Returns whether the unexplained crashes suffice for a quarantine."""
-    if not _is_frequent(unexplained):
-        return False
+    """Returns whether the unexplained crashes suffice for a quarantine.
+
+    Narrower parts that recur may explain the same crashes together. So three
+    crashes count only without theirs, and five if more than one is left then.
+    The content of a request recurs whenever it is repeated.
+    """
+    unexplained = suspect.crashes - explained
+    narrower = [
+        unexplained - other.crashes
+        for other in recurring
+        if other.cause.is_part
+        and other.cause.narrowness > suspect.cause.narrowness
+        and other.crashes < suspect.crashes
+    ]
+    apart = unexplained.intersection(*narrower)
     if len(unexplained) >= CRASHES_TO_QUARANTINE:
-        return True
+        return len(apart) > 1
     equal = [
         rival
         for rival in rivals
         if rival is not suspect and rival.crashes >= suspect.crashes
     ]
-    return not equal or any(
-        len(rival.crashes) >= CRASHES_TO_QUARANTINE for rival in equal
+    return _is_frequent(apart) and (
+        not equal
+        or any(len(rival.crashes) >= CRASHES_TO_QUARANTINE for rival in equal)
     )
 
 
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -6,6 +6,7 @@
 
 from collections import defaultdict
 from datetime import timedelta
+from math import inf
 from random import Random
 
 import attrs
@@ -20,9 +21,11 @@
 _CRASH_AFTER_S = 0.3
 _DOWN_S = 3.0
 _DEADLY_FROM_S = 3.0
-#: Shared by all prompts.
-_RULES = Cause(is_part=True, digest=0)
-DEADLY = Cause(is_part=True, digest=1)
+_FIRST_HISTORY = 1000
+_OTHER_LEADS = 5
+#: Ids below or above those of deadly parts and histories.
+_LEAST_ID = 0
+_GREATEST_ID = 1 << 40
 
 
 @attrs.frozen(eq=False)
@@ -41,9 +44,13 @@
     """Instances and engines under a load of prompts, some of them deadly.
 
     `histories` is the number of parts that sound prompts have beside the common
-    one. Deadly prompts come after some seconds. `crashes_per_s` are crashes for
-    other reasons; `flapping` engines crash whenever they are back. A sound
-    prompt always goes to the engine of its history if that is up.
+    ones, of which there are `leads`, with ids above all others if
+    `are_leads_greater`. Deadly prompts come after some seconds, with one of
+    `deadly_parts` instead of the history, followed by `tails` sound parts.
+    `crashes_per_s` are crashes for other reasons; `flapping` engines crash
+    whenever they are back. A sound prompt always goes to the engine of its
+    history if that is up. No sound prompt comes from `pause_from_s` to
+    `pause_until_s`; deadly ones begin with other parts from `others_from_s` on.
     """
 
     instances: int
@@ -54,10 +61,17 @@
     histories: int = 90
     crashes_per_s: float = 0
     flapping: int = 0
+    leads: int = 1
+    are_leads_greater: bool = False
+    deadly_parts: int = 1
+    tails: int = 0
+    pause_from_s: float = inf
+    pause_until_s: float = inf
+    others_from_s: float = inf
     clock: ManualClock = attrs.field(factory=ManualClock)
     crash_times_s: list[float] = attrs.field(factory=list)
     deadly_sent_s: list[float] = attrs.field(factory=list)
-    refused_sound: int = 0
+    refused_sound_s: list[float] = attrs.field(factory=list)
     sent_sound: int = 0
     _random: Random = attrs.field(init=False)
     _views: list[CrashCauses] = attrs.field(init=False)
@@ -85,6 +99,19 @@
                 self._exchange()
         return self
 
+    @property
+    def refused_sound(self):
+        """The number of sound prompts that were refused."""
+        return len(self.refused_sound_s)
+
+    @property
+    def deadly(self):
+        """The deadly parts."""
+        return {
+            Cause(is_part=True, digest=number + 1, depth=self.leads)
+            for number in range(self.deadly_parts)
+        }
+
     def quarantined(self):
         """Returns what any instance has quarantined."""
         return {cause for view in self._views for cause in view.quarantined()}
@@ -114,15 +141,16 @@
             self._now_s() > _DEADLY_FROM_S
             and self._random.random() < self.deadly_share
         )
-        history = 2 + self._random.randrange(self.histories)
-        part = DEADLY if is_deadly else Cause(is_part=True, digest=history)
-        whole = Cause(is_part=False, digest=self._random.getrandbits(64))
-        causes = frozenset((_RULES, part, whole))
+        history = _FIRST_HISTORY + self._random.randrange(self.histories)
+        if not is_deadly and self._is_pause():
+            return
+        causes = frozenset(self._draw_causes(history, is_deadly))
         engine = self._pick_engine(history)
         if engine is None:
             return
         if view.find_quarantined(causes):
-            self.refused_sound += not is_deadly
+            if not is_deadly:
+                self.refused_sound_s.append(self._now_s())
             return
         if is_deadly:
             self.deadly_sent_s.append(self._now_s())
@@ -131,6 +159,24 @@
             _Stream(self._now_s(), engine, view, causes, is_deadly)
         )
 
+    def _is_pause(self):
+        return self.pause_from_s <= self._now_s() < self.pause_until_s
+
+    def _draw_causes(self, history, is_deadly):
+        """Returns the causes of a prompt; its content is its own."""
+        yield Cause(is_part=False, digest=self._random.getrandbits(64))
+        first = _GREATEST_ID if self.are_leads_greater else _LEAST_ID
+        if is_deadly and self._now_s() > self.others_from_s:
+            first += self.leads * self._random.randint(1, _OTHER_LEADS)
+        for depth in range(self.leads):
+            yield Cause(is_part=True, digest=first - depth, depth=depth)
+        if is_deadly:
+            yield self._random.choice(sorted(self.deadly))
+            for depth in range(self.leads + 1, self.leads + 1 + self.tails):
+                yield Cause(is_part=True, digest=history + depth, depth=depth)
+        else:
+            yield Cause(is_part=True, digest=history, depth=self.leads)
+
     def _pick_engine(self, history):
         now_s = self._now_s()
         up = [engine for engine, at_s in self._up_at_s.items() if at_s <= now_s]
