Count a crash whose process listens for a moment longer

What callers saw: with upstreams that take some time to end, a deadly part was never quarantined, or after more crashes; all streams on those upstreams broke each time.

Cause: after a broken answer one check was made, at once. If the process still listened (the check was reset, or answered 503), the crash was no evidence.

The new test with 50 and 300 ms until the port is closed failed in both cases (all 8 upstreams crash).

Why this works: while the upstream fails its check it is checked again each 100 ms, for a second, until it refuses connections or passes; requests that wait for the check go on after the first one. An upstream that leaves or recovers is no crash, as before.

--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -33,6 +33,10 @@
 #: Timeout of a check, which a busy upstream queues like any request.
 _CHECK_TIMEOUT_S: Final = 0.6
 _CONNECT_TIMEOUT_S: Final = 0.3
+#: Time that a crashing process may take until its port is closed, and the pause
+#: between checks during it.
+_MAX_ENDING_S: Final = 1.0
+_ENDING_CHECK_S: Final = 0.1
 #: Longest wait for a check before a request is repeated elsewhere. A refused
 #: connection is known after a millisecond.
 _MAX_WAIT_FOR_CHECK_S: Final = 0.1
@@ -123,16 +127,41 @@
     what it ran is a possible cause.
     """
     name = upstream.record.name
+    broken = gateway.activity.broken_requests[name]
     try:
-        failure = await _check_and_suspect(gateway, upstream)
+        failure = await _check_until_gone(gateway, upstream, broken)
     finally:
-        broken = gateway.activity.broken_requests.pop(name)
-    is_refused = isinstance(failure, ConnectError) and failure.is_refused
-    if is_refused and not gateway.views.fleet.is_leaving(name):
+        gateway.activity.broken_requests.pop(name)
+    if _is_refused(failure) and not gateway.views.fleet.is_leaving(name):
         record_crash(gateway, upstream.record, frozenset(broken.causes))
     broken.checked.set()
 
 
+async def _check_until_gone(
+    gateway: Gateway,
+    upstream: KnownUpstream,
+    broken: BrokenRequests,
+) -> MasticstageError | None:
+    """Checks an upstream until it refuses connections, or for a while.
+
+    A process that crashes may listen for a moment longer, and fail checks or
+    break their connections. Returns the last failure, None if a check passes.
+    """
+    ends_s = gateway.elapsed_s() + _MAX_ENDING_S
+    failure = await _check_and_suspect(gateway, upstream)
+    while failure is not None and not _is_refused(failure):
+        broken.checked.set()
+        if gateway.elapsed_s() >= ends_s:
+            break
+        await trio.sleep(_ENDING_CHECK_S)
+        failure = await _check_within_timeout(gateway, upstream)
+    return failure
+
+
+def _is_refused(failure: MasticstageError | None) -> bool:
+    return isinstance(failure, ConnectError) and failure.is_refused
+
+
 async def _check_and_suspect(
     gateway: Gateway,
     upstream: KnownUpstream,
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from math import inf
 from random import Random
 from typing import Final, final
 
@@ -59,8 +60,9 @@
     While it `is_leaving`, each answer says so. `requests` has the headers of
     each request, with its target as `path`; `executed_ids` has the ids of those
     that ran. A request whose prompt has the `deadly_part` crashes the upstream:
-    `serve` ends. `rest` is the Retry-After of a refusal with the fault REST,
-    `load` what it reports as its load.
+    `serve` ends, after `dying_s` seconds in which the port is open, health
+    checks fail and other requests are reset. `rest` is the Retry-After of a
+    refusal with the fault REST, `load` what it reports as its load.
     """
 
     name: str
@@ -78,6 +80,7 @@
     ignores_health_checks: bool = False
     open_requests: int = 0
     deadly_part: str = ''
+    dying_s: float = 0
     _late_copies: dict[trio.SocketStream, bytes] = attrs.field(factory=dict)
     _lifetime: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
@@ -87,8 +90,12 @@
         return self._lifetime.cancel_called
 
     def crash(self) -> None:
-        """Ends all connections and refuses new ones."""
-        self._lifetime.cancel()
+        """Ends all connections and refuses new ones, if need be later."""
+        self.is_healthy = False
+        if self.dying_s:
+            self._lifetime.deadline = trio.current_time() + self.dying_s
+        else:
+            self._lifetime.cancel()
 
     async def serve(
         self,
@@ -136,6 +143,8 @@
             await read_body(stream, parser)
             await self._answer_health(stream, parser)
             return True
+        if self._lifetime.deadline < inf:
+            return False
         self.requests.append(fields)
         fault = self.faults.popleft() if self.faults else self.draw_fault()
         if fault in EARLY_FAULTS and not self._is_misdirected(fields):
@@ -211,6 +220,8 @@
         await stream.send_all(late_copy + _render_invalid(fault, headers))
         if self._is_deadly(fields):
             self.crash()
+            if self.dying_s:
+                return False
         if fault is Fault.HALF_CLOSED:
             await stream.send_eof()
         if fault in {Fault.SILENT, Fault.HALF_CLOSED} or self.has_crashed:
--- a/tests/edges/test_crashing_prompts.py
+++ b/tests/edges/test_crashing_prompts.py
@@ -1,5 +1,6 @@
 """Tests of prompts that crash the upstreams which answer them."""
 
+import pytest
 import trio
 
 from tests.edges.deployment import (
@@ -116,6 +117,25 @@
     check()
 
 
+@pytest.mark.parametrize('dying_s', [0.05, 0.3])
+def test_crashes_of_upstreams_that_take_a_moment_to_end_are_counted(dying_s):
+    """Guards against a single check that comes before the port is closed."""
+
+    @run_with_timeout
+    async def check():
+        async with deploy_entry(_NOT_RESUMABLE, _REPLICAS) as deployment:
+            _make_deadly(deployment)
+            for replica in deployment.replicas.values():
+                replica.dying_s = dying_s
+            for number in range(_REPLICAS):
+                await _ask(deployment, _SOUND, number)
+                await _ask(deployment, _DEADLY, number)
+                await trio.sleep(2 * dying_s)
+            assert len(deployment.crashed_names()) <= _MAX_CRASHES
+
+    check()
+
+
 def test_a_deadly_part_is_known_in_other_regions():
     """The upstreams are reached through an instance of their region."""
 
