Name the choice among causes a diagnosis

Cause: the names of the new modules were legal metaphors, which DEVELOPING.md excludes.

Change: verdicts.py is diagnosis.py, with diagnose and find_outdated; docstrings say why the narrowest cause comes first. No behaviour changes.

--- a/src/masticstage/forwarding/crashes/answers.py
+++ b/src/masticstage/forwarding/crashes/answers.py
@@ -48,6 +48,6 @@
         repeated_s = self._repeated.get(cause)
         return self._once.get(cause, -inf) if repeated_s is None else repeated_s
 
-    def excuse(self, cause: Cause, crashed_at_s: float) -> bool:
+    def is_recent(self, cause: Cause, crashed_at_s: float) -> bool:
         """Returns whether an answer was as late as a crash, or nearly so."""
         return self.last_s(cause) > crashed_at_s - _TRUSTED_FOR_S
--- a/src/masticstage/forwarding/crashes/crash_causes.py
+++ b/src/masticstage/forwarding/crashes/crash_causes.py
@@ -2,8 +2,9 @@
 
 A crash is evidence against each request that was running on the upstream: its
 content, and each part of its prompt that other requests share.  A complete
-answer afterwards is evidence for the same.  What remains after several crashes
-is quarantined.  All instances merge their evidence, in any order.
+answer, before a crash or after it, is evidence for the same.  All instances
+merge their evidence, in any order; each decides for itself what to quarantine,
+and again with each change.
 """
 
 from collections.abc import Iterable, Mapping
@@ -20,13 +21,13 @@
     Causes,
     weigh_crashes,
 )
-from masticstage.forwarding.crashes.evidence import LIFETIME_S, Evidence
-from masticstage.forwarding.crashes.verdicts import (
+from masticstage.forwarding.crashes.diagnosis import (
     RECURRING,
     Suspect,
-    find_guilty,
-    find_overruled,
+    diagnose,
+    find_outdated,
 )
+from masticstage.forwarding.crashes.evidence import LIFETIME_S, Evidence
 
 #: Time for which new evidence is repeated to other instances.
 _SPREAD_S: Final = 30.0
@@ -128,7 +129,7 @@
             if evidence.add((crash,)):
                 evidence.last_crash_s = now_s
                 evidence.changed_s = now_s
-            if self._answers.excuse(cause, now_s):
+            if self._answers.is_recent(cause, now_s):
                 evidence.clear((crash,))
         return self._review()
 
@@ -157,7 +158,7 @@
             (cause, evidence)
             for cause, evidence in self._evidence.items()
             if now_s - evidence.changed_s < _SPREAD_S
-            or (evidence.verdict and evidence.is_valid(now_s))
+            or (evidence.diagnosis and evidence.is_valid(now_s))
         ]
         if not current:
             return []
@@ -202,7 +203,7 @@
         crashed_at_s = now_s - report.age_s
         has_new_crash = evidence.add(report.uncleared | report.cleared)
         is_cleared = evidence.clear(report.cleared)
-        if self._answers.excuse(report.cause, crashed_at_s):
+        if self._answers.is_recent(report.cause, crashed_at_s):
             is_cleared = evidence.clear(evidence.uncleared) or is_cleared
         if has_new_crash:
             evidence.last_crash_s = max(evidence.last_crash_s, crashed_at_s)
@@ -253,17 +254,17 @@
 
     def _blamed_among(self, causes: Causes) -> Causes:
         """Returns the causes against which a crash is evidence."""
-        verdicts = [
-            verdict
+        diagnoses = [
+            diagnosis
             for cause in self._quarantined_among(causes)
-            if (verdict := self._evidence[cause].verdict)
+            if (diagnosis := self._evidence[cause].diagnosis)
         ]
-        if not verdicts:
+        if not diagnoses:
             return causes
         return frozenset(
             cause
-            for verdict in verdicts
-            for cause in (verdict.cause, *(verdict.rivals & causes))
+            for diagnosis in diagnoses
+            for cause in (diagnosis.cause, *(diagnosis.rivals & causes))
         )
 
     def _quarantined_among(self, causes: Iterable[Cause]) -> list[Cause]:
@@ -274,7 +275,7 @@
             cause
             for cause in causes
             if (evidence := self._evidence.get(cause)) is not None
-            and evidence.verdict
+            and evidence.diagnosis
             and evidence.is_valid(now_s)
         ]
 
@@ -286,23 +287,23 @@
         for excess in _find_excess(self._evidence):
             self._evidence.pop(excess)
         suspects = self._suspects()
-        overruled = {one.cause for one in suspects if not one.crashes}
-        overruled.update(find_overruled(suspects))
-        for cause in overruled:
-            if self._evidence[cause].verdict:
-                self._evidence[cause].verdict = None
+        outdated = {one.cause for one in suspects if not one.crashes}
+        outdated.update(find_outdated(suspects))
+        for cause in outdated:
+            if self._evidence[cause].diagnosis:
+                self._evidence[cause].diagnosis = None
                 self._ended.append(cause)
-        verdicts = list(
-            find_guilty(
-                attrs.evolve(one, verdict=self._evidence[one.cause].verdict)
+        diagnoses = list(
+            diagnose(
+                attrs.evolve(one, diagnosis=self._evidence[one.cause].diagnosis)
                 for one in suspects
-                # Those that excuse a cause are chosen before it is again.
-                if one.is_answered or one.cause not in overruled
+                # What speaks for a cause is chosen before it can be again.
+                if one.is_answered or one.cause not in outdated
             )
         )
-        for verdict in verdicts:
-            self._evidence[verdict.cause].verdict = verdict
-        return [verdict.cause for verdict in verdicts]
+        for diagnosis in diagnoses:
+            self._evidence[diagnosis.cause].diagnosis = diagnosis
+        return [diagnosis.cause for diagnosis in diagnoses]
 
     def _suspects(self) -> list[Suspect]:
         """Returns the causes that may be blamed for several crashes."""
@@ -312,7 +313,7 @@
                 cause,
                 evidence.uncleared,
                 self._answered_age_s(cause, evidence, now_s) is not None,
-                evidence.verdict,
+                evidence.diagnosis,
             )
             for cause, evidence in self._evidence.items()
             if len(evidence.crashes) >= RECURRING
@@ -327,7 +328,7 @@
     return frozenset(
         crash
         for evidence in known
-        if evidence.verdict
+        if evidence.diagnosis
         for crash in evidence.crashes
     )
 
@@ -340,7 +341,7 @@
     by_worth = sorted(
         known,
         key=lambda cause: (
-            known[cause].verdict is not None,
+            known[cause].diagnosis is not None,
             known[cause].last_crash_s,
         ),
     )
--- a/src/masticstage/forwarding/crashes/verdicts.py
+++ b/src/masticstage/forwarding/crashes/diagnosis.py
@@ -1,8 +1,9 @@
 """Decides which causes explain crashes.
 
-A complete answer on a cause proves that it is sound, whatever else crashed
-beside it later.  So causes that were answered are blamed only for what no cause
-without an answer explains.
+A complete answer on a cause proves that it is sound, whatever crashes beside it
+later.  So causes that were answered are blamed only for what no cause without
+an answer explains.  Of the others the narrowest comes first: requests that have
+only what is broader still run, and show whether that is sound.
 """
 
 from collections.abc import Iterable, Iterator
@@ -27,7 +28,7 @@
 
 
 @attrs.frozen
-class Verdict:
+class Diagnosis:
     """A cause to quarantine, and its rivals.
 
     These are causes of all the same crashes, between which nothing but their
@@ -42,17 +43,17 @@
 class Suspect:
     """A cause, the crashes that speak against it, and whether it was answered.
 
-    `verdict` is the decision until now, None while it is not quarantined.
+    `diagnosis` is set while it is quarantined.
     """
 
     cause: Cause
     crashes: frozenset[int]
     is_answered: bool
-    verdict: Verdict | None
+    diagnosis: Diagnosis | None
 
 
-def find_overruled(suspects: Iterable[Suspect]) -> Iterator[Cause]:
-    """Returns quarantined causes that further evidence excuses.
+def find_outdated(suspects: Iterable[Suspect]) -> Iterator[Cause]:
+    """Returns quarantined causes that further evidence speaks for.
 
     What an instance learns later, by gossip too, may explain the same crashes
     better: a narrower cause of all of them, a rival that is in further ones, or
@@ -64,43 +65,43 @@
         one for one in unanswered if len(one.crashes) >= RECURRING
     )
     for suspect in known:
-        if suspect.verdict is None:
+        if suspect.diagnosis is None:
             continue
         if suspect.is_answered:
-            is_overruled = not _is_frequent(suspect.crashes - recurring)
+            is_outdated = not _is_frequent(suspect.crashes - recurring)
         else:
-            is_overruled = any(
-                _overrules(other, suspect, suspect.verdict)
+            is_outdated = any(
+                _explains_better(other, suspect, suspect.diagnosis)
                 for other in unanswered
             )
-        if is_overruled:
+        if is_outdated:
             yield suspect.cause
 
 
-def find_guilty(suspects: Iterable[Suspect]) -> Iterator[Verdict]:
+def diagnose(suspects: Iterable[Suspect]) -> Iterator[Diagnosis]:
     """Returns what to quarantine besides the causes that are quarantined.
 
     While several causes have the same crashes, none is chosen, since an answer
     or a further crash soon tells them apart. After enough crashes the narrowest
-    is: requests with the others still run, which shows whether they are sound.
+    is.
     """
     known = list(suspects)
-    explained = _join(one for one in known if one.verdict)
-    open_cases = [one for one in known if not one.verdict]
+    explained = _join(one for one in known if one.diagnosis)
+    open_cases = [one for one in known if not one.diagnosis]
     unanswered = [one for one in open_cases if not one.is_answered]
     for suspect in _choose(unanswered, open_cases, explained):
         explained |= suspect.crashes
-        yield _judge(suspect, unanswered)
+        yield _diagnose_one(suspect, unanswered)
     recurring = _join(
         one for one in unanswered if len(one.crashes) >= RECURRING
     )
     answered = [one for one in open_cases if one.is_answered]
     for suspect in _choose(answered, answered, explained | recurring):
-        yield _judge(suspect, answered)
+        yield _diagnose_one(suspect, answered)
 
 
-def _judge(suspect: Suspect, rivals: Iterable[Suspect]) -> Verdict:
-    return Verdict(
+def _diagnose_one(suspect: Suspect, rivals: Iterable[Suspect]) -> Diagnosis:
+    return Diagnosis(
         suspect.cause,
         frozenset(
             rival.cause
@@ -110,13 +111,15 @@
     )
 
 
-def _overrules(other: Suspect, suspect: Suspect, verdict: Verdict) -> bool:
+def _explains_better(
+    other: Suspect, suspect: Suspect, diagnosis: Diagnosis
+) -> bool:
     """Returns whether another cause explains crashes better."""
     if len(suspect.crashes) < CRASHES_TO_QUARANTINE:
         return False
     if other.crashes == suspect.crashes:
         return other.cause.narrowness > suspect.cause.narrowness
-    return other.cause in verdict.rivals and other.crashes > suspect.crashes
+    return other.cause in diagnosis.rivals and other.crashes > suspect.crashes
 
 
 def _choose(
--- a/src/masticstage/forwarding/crashes/evidence.py
+++ b/src/masticstage/forwarding/crashes/evidence.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from masticstage.forwarding.crashes.verdicts import Verdict
+from masticstage.forwarding.crashes.diagnosis import Diagnosis
 
 #: Time after the last crash for which evidence and a quarantine are valid.
 LIFETIME_S: Final = 3600.0
@@ -26,7 +26,7 @@
     last_crash_s: float
     changed_s: float
     crashes: dict[int, bool] = attrs.field(factory=dict)
-    verdict: Verdict | None = None
+    diagnosis: Diagnosis | None = None
     answered_at_s: float = -inf
 
     @property
@@ -56,7 +56,7 @@
 
     def unexplained(self, explained: frozenset[int]) -> frozenset[int]:
         """Returns the crashes that speak against the cause."""
-        return self.uncleared if self.verdict else self.uncleared - explained
+        return self.uncleared if self.diagnosis else self.uncleared - explained
 
     def _drop_oldest(self) -> None:
         while len(self.crashes) > MAX_CRASHES:
--- a/tests/forwarding/crashes/test_crash_causes.py
+++ b/tests/forwarding/crashes/test_crash_causes.py
@@ -21,11 +21,11 @@
     CauseReport,
     CrashCauses,
 )
-from masticstage.forwarding.crashes.evidence import MAX_CRASHES
-from masticstage.forwarding.crashes.verdicts import (
+from masticstage.forwarding.crashes.diagnosis import (
     CRASHES_TO_QUARANTINE,
     UPSTREAMS_TO_QUARANTINE,
 )
+from masticstage.forwarding.crashes.evidence import MAX_CRASHES
 from tests.forwarding_builders import (
     SECOND,
     build_prompt,
