Clearer names in the choice among causes, one docstring that was out of date

Cause: reading the change as a newcomer: `rivals` had two meanings in diagnosis.py, `checked` is set before it is known that an upstream has not crashed.

Change: names of parameters and locals, docstrings. No behaviour changes.

Measured: make check, 49 tests of crash causes and 18 patterns pass.

--- a/src/masticstage/edges/activity.py
+++ b/src/masticstage/edges/activity.py
@@ -15,7 +15,7 @@
 class BrokenRequests:
     """Possible causes of the requests that broke on one upstream.
 
-    `checked` is set when it is known whether the upstream has crashed.
+    `checked` is set after the first check, which shows most crashes.
     """
 
     causes: set[Cause] = attrs.field(factory=set)
--- a/src/masticstage/forwarding/crashes/crash_causes.py
+++ b/src/masticstage/forwarding/crashes/crash_causes.py
@@ -57,10 +57,10 @@
 class Finding:
     """What is known about a cause, for logs.
 
-    `crashes` are those that no complete answer followed, `upstreams` the
-    number of upstreams that crashed in them. `rivals` are causes of all the
-    same crashes. `answered_age_s` is the time since a complete answer,
-    in seconds, None without any.
+    `crashes` is the number of those that no complete answer followed,
+    `upstreams` that of the upstreams that crashed in them. `rivals` are causes
+    of all the same crashes. `answered_age_s` is the time since a complete
+    answer in seconds, None without any.
     """
 
     cause: Cause
@@ -226,8 +226,8 @@
     ) -> bool:
         """Takes a peer's word that a cause was answered; returns if it is new.
 
-        Only the first is taken: ages grow less than time by the way of each
-        message, so that they must not pass back and forth.
+        Only the first is taken. The time on the way is missing in each age, so
+        an answer that went back and forth would become later and later.
         """
         age_s = report.answered_age_s
         known_age_s = self._answered_age_s(report.cause, evidence, now_s)
--- a/src/masticstage/forwarding/crashes/diagnosis.py
+++ b/src/masticstage/forwarding/crashes/diagnosis.py
@@ -124,18 +124,21 @@
 
 def _choose(
     suspects: Iterable[Suspect],
-    rivals: Iterable[Suspect],
+    others: Iterable[Suspect],
     explained: frozenset[int],
 ) -> Iterator[Suspect]:
-    """Chooses suspects while crashes are left that need explanation."""
+    """Chooses suspects while crashes are left that need explanation.
+
+    `others` may be in the same crashes; the suspects are among them.
+    """
     frequent = [one for one in suspects if _is_frequent(one.crashes)]
-    strong_rivals = [one for one in rivals if _is_frequent(one.crashes)]
+    frequent_others = [one for one in others if _is_frequent(one.crashes)]
     recurring = [one for one in suspects if len(one.crashes) >= RECURRING]
     while True:
         due = [
             one
             for one in frequent
-            if _is_due(one, explained, recurring, strong_rivals)
+            if _is_due(one, explained, recurring, frequent_others)
         ]
         if not due:
             return
@@ -148,7 +151,7 @@
     suspect: Suspect,
     explained: frozenset[int],
     recurring: list[Suspect],
-    rivals: list[Suspect],
+    others: list[Suspect],
 ) -> bool:
     """Returns whether the unexplained crashes suffice for a quarantine.
 
@@ -157,24 +160,24 @@
     The content of a request recurs whenever it is repeated.
     """
     unexplained = suspect.crashes - explained
-    narrower = [
+    without_narrower = [
         unexplained - other.crashes
         for other in recurring
         if other.cause.is_part
         and other.cause.narrowness > suspect.cause.narrowness
         and other.crashes < suspect.crashes
     ]
-    apart = unexplained.intersection(*narrower)
+    apart = unexplained.intersection(*without_narrower)
     if len(unexplained) >= CRASHES_TO_QUARANTINE:
         return len(apart) > 1
-    equal = [
-        rival
-        for rival in rivals
-        if rival is not suspect and rival.crashes >= suspect.crashes
+    in_all = [
+        other
+        for other in others
+        if other is not suspect and other.crashes >= suspect.crashes
     ]
     return _is_frequent(apart) and (
-        not equal
-        or any(len(rival.crashes) >= CRASHES_TO_QUARANTINE for rival in equal)
+        not in_all
+        or any(len(other.crashes) >= CRASHES_TO_QUARANTINE for other in in_all)
     )
 
 
