Log when an upstream is known to be cold, and from whom

Nothing logged that an instance learns of a warm-up, or whether a dispatch took its upstream for cold, so that the hypotheses of the flooded upstream could not be told apart. Adds the event upstream_cold with what was known before, the warm-up in record_changed, and cold_ms in dispatched.

No decision is changed.

--- a/src/masticstage/edges/dispatch_log.py
+++ b/src/masticstage/edges/dispatch_log.py
@@ -38,6 +38,7 @@
         waited_ms=waited // _MS,
         tried=sorted(routed.tried),
         left_out=describe_notices(gateway.views.fleet, routed.service),
+        **_warm_up_fields(gateway, choice),
         **_prompt_fields(routed.request.prompt, choice),
     )
 
@@ -86,6 +87,13 @@
     loads.record_outcome(state, is_failure=is_failure, is_relayed=is_relayed)
 
 
+def _warm_up_fields(gateway: Gateway, choice: Choice) -> dict[str, int]:
+    """Returns how long the upstream is taken for cold, for the log."""
+    known = choice.candidate.known_upstream
+    left = known.cold_until - gateway.clock.elapsed()
+    return {'cold_ms': left // _MS} if left > timedelta() else {}
+
+
 def _prompt_fields(prompt: Prompt, choice: Choice) -> dict[str, object]:
     """Returns what was assumed about the prompt, for the log."""
     if not prompt.tokens_in:
--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -7,6 +7,7 @@
 cause.
 """
 
+from datetime import timedelta
 from http import HTTPStatus
 from typing import Final
 
@@ -40,6 +41,7 @@
 #: Longest wait for a check before a request is repeated elsewhere. A refused
 #: connection is known after a millisecond.
 _MAX_WAIT_FOR_CHECK_S: Final = 0.1
+_MS: Final = timedelta(milliseconds=1)
 
 
 async def update_upstream_health(
@@ -246,10 +248,27 @@
             f'health check returned status {head.status}',
         )
     if facts.cold_for:
-        gateway.views.fleet.record_warm_up(record.name, facts.cold_for)
+        _record_warm_up(gateway, upstream, facts.cold_for)
     return None
 
 
+def _record_warm_up(
+    gateway: Gateway, upstream: KnownUpstream, cold_for: timedelta
+) -> None:
+    """Records that an upstream is cold; logs what was known before."""
+    name = upstream.record.name
+    known_left = upstream.cold_until - gateway.clock.elapsed()
+    gateway.log.record(
+        'upstream_cold',
+        upstream=name,
+        left_ms=cold_for // _MS,
+        known_left_ms=max(timedelta(), known_left) // _MS,
+        source='health check',
+    )
+    gateway.metrics.count('upstream_cold')
+    gateway.views.fleet.record_warm_up(name, cold_for)
+
+
 def _record_slowdown(
     gateway: Gateway, record: UpstreamRecord, facts: AnswerFacts
 ) -> None:
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -294,7 +294,9 @@
             _awaits_pace(known, record, is_new=is_new),
         )
         state = 'leaving' if record.is_leaving else 'ready'
-        return f'upstream {record.name} {state}'
+        cold_ms = record.cold_for // timedelta(milliseconds=1)
+        note = f', cold for {cold_ms} ms' if cold_ms else ''
+        return f'upstream {record.name} {state}{note}'
 
 
 def _leaves(record: UpstreamRecord, notices: UpstreamNotices) -> bool:
