--- a/tests/forwarding/test_warmups.py
+++ b/tests/forwarding/test_warmups.py
@@ -16,6 +16,9 @@
     build_stream_route,
 )
 
+#: Age from which an instance knows its peers, in seconds.
+_AGE_S = 5
+
 
 def _add_cold_upstream(instance):
     instance.add_upstream(build_record(service='model', cold_for=60 * SECOND))
@@ -33,7 +36,7 @@
 
 
 def test_a_cold_upstream_gets_no_more_than_its_rate():
-    instance = build_simulated_instance()
+    instance = build_simulated_instance(age_s=_AGE_S)
     _add_cold_upstream(instance)
     sent = 0
     for _ in range(100):
@@ -52,7 +55,9 @@
 
 def test_only_one_of_two_instances_sends_to_a_cold_upstream():
     own, other = (
-        _may_send(build_simulated_instance(build_member(name)), name)
+        _may_send(
+            build_simulated_instance(build_member(name), age_s=_AGE_S), name
+        )
         for name in ('peer-1', 'peer-2')
     )
     names = ['own', 'peer-1']
@@ -62,7 +67,7 @@
 
 def test_a_record_from_before_a_start_does_not_end_its_warm_up():
     """Guards against old records that are applied after a health answer."""
-    instance = build_simulated_instance()
+    instance = build_simulated_instance(age_s=_AGE_S)
     record = build_record(service='model')
     instance.add_upstream(record)
     instance.view.record_warm_up('u-1', 3 * SECOND)
@@ -100,7 +105,9 @@
             for peer in names
             if peer != name
         ]
-        instances.append(build_simulated_instance(*peers, name=name))
+        instances.append(
+            build_simulated_instance(*peers, name=name, age_s=_AGE_S)
+        )
     return instances
 
 
--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -154,9 +154,9 @@
 
 
 def build_simulated_instance(
-    *peers: Member, name: str = 'own', age_s: float = 5
+    *peers: Member, name: str = 'own', age_s: float = 0
 ) -> SimulatedInstance:
-    """Returns an instance in the north that has run for a while."""
+    """Returns an instance in the north that has run for `age_s` seconds."""
     clock = ManualClock()
     clock.advance(timedelta(seconds=100))
     view = FleetView(clock)
