Let no older record end a warm-up that an upstream told

Callers of a cold upstream could meet full rate: a health answer told this instance that the upstream is cold, then a record from before its start was read, and set the end of the warm-up to its own. The end that was told is now kept by name, apart from the records, and only time ends it.

--- a/src/masticstage/forwarding/candidate_finder.py
+++ b/src/masticstage/forwarding/candidate_finder.py
@@ -12,7 +12,10 @@
 from masticstage.forwarding.published import UpstreamRecord
 from masticstage.forwarding.routes import Route, ServiceConfig
 from masticstage.forwarding.view import FleetView, KnownUpstream
-from masticstage.forwarding.warmups import chosen_sender, cold_interval_s
+from masticstage.forwarding.warmups.senders import (
+    chosen_sender,
+    cold_interval_s,
+)
 from masticstage.membership import Member, MemberTable
 
 
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -17,6 +17,7 @@
 from masticstage.forwarding.removals import Removals
 from masticstage.forwarding.routes import RouteTable, ServiceConfig
 from masticstage.forwarding.upstream_notices import UpstreamNotices
+from masticstage.forwarding.warmups.told import ToldWarmUps
 
 #: Time after which a leaving upstream gets nothing, unless settings name one.
 _REMOVAL_TIME: Final = timedelta(seconds=3)
@@ -72,6 +73,7 @@
     _upstreams: dict[str, KnownUpstream] = attrs.field(factory=dict)
     _evacuations: dict[str, Evacuation] = attrs.field(factory=dict)
     removals: Removals = attrs.field(init=False)
+    told_warm_ups: ToldWarmUps = attrs.field(init=False)
     _notices: UpstreamNotices = attrs.field(init=False)
     _kept_lists: _ServiceLists | None = None
     _began_at: timedelta = attrs.field(init=False)
@@ -80,6 +82,7 @@
         """Starts without notices of upstreams and without removals."""
         self._began_at = self._clock.elapsed()
         self.removals = Removals(self._clock)
+        self.told_warm_ups = ToldWarmUps(self._clock)
         self._notices = UpstreamNotices(self._clock, self._removal_time)
 
     @property
@@ -246,11 +249,12 @@
     def record_warm_up(self, name: str, cold_for: timedelta) -> None:
         """Sets the remaining warm-up time that an upstream reported."""
         now = self._clock.elapsed()
+        self.told_warm_ups.record(name, cold_for)
         for upstream in self._upstreams.values():
             if upstream.record.name == name:
                 # Each answer of a cold upstream reports its warm-up again.
                 upstream.awaits_pace |= upstream.cold_until <= now
-                upstream.cold_until = now + cold_for
+                upstream.cold_until = self.told_warm_ups.end_of(name)
 
     def _lists(self) -> _ServiceLists:
         """Returns the lists of upstreams, built anew only after changes."""
@@ -290,7 +294,10 @@
         self.removals.ended.forget(record)
         self._upstreams[key] = KnownUpstream(
             record,
-            now + record.cold_for,
+            max(
+                now + record.cold_for,
+                self.told_warm_ups.end_of(record.name),
+            ),
             _awaits_pace(known, record, is_new=is_new),
         )
         state = 'leaving' if record.is_leaving else 'ready'
--- a/tests/forwarding/test_warmups.py
+++ b/tests/forwarding/test_warmups.py
@@ -5,7 +5,10 @@
 import attrs
 
 from masticstage.forwarding.choice import Chooser
-from masticstage.forwarding.warmups import chosen_sender, cold_interval_s
+from masticstage.forwarding.warmups.senders import (
+    chosen_sender,
+    cold_interval_s,
+)
 from masticstage.membership import Liveness
 from tests.forwarding_builders import (
     SECOND,
