Divide the rate of a cold upstream among the parts of a region

Parts of a region that are cut off from each other each chose a sender, and each sent at three quarters of the permitted rate: with four parts 12 requests in a second, 8.25 permitted. A sender's rate is now in proportion to the live ones among the instances that it knows, so the parts' rates add up to that of one; each part adds one request.

test_parts_of_a_region_that_are_cut_off_together_stay_within_the_limit failed with 12 before and passes.

--- a/src/masticstage/forwarding/candidate_finder.py
+++ b/src/masticstage/forwarding/candidate_finder.py
@@ -16,7 +16,7 @@
     chosen_sender,
     cold_interval_s,
 )
-from masticstage.membership import Member, MemberTable
+from masticstage.membership import Liveness, Member, MemberTable
 
 
 @final
@@ -115,7 +115,18 @@
         if chosen_sender(upstream.record.name, names) != own.identity.name:
             return False
         idle_s = self._now_s() - state.last_cold_dispatch_s
-        return idle_s >= cold_interval_s(service_config.cold_rate)
+        return idle_s >= cold_interval_s(
+            service_config.cold_rate, len(names) / self._count_known()
+        )
+
+    def _count_known(self) -> int:
+        """Returns how many instances of this region run, or may run."""
+        others = (*self._members.others(), *self._members.gone())
+        return 1 + sum(
+            member.region == self._members.own.region
+            and member.liveness is not Liveness.LEAVING
+            for member in others
+        )
 
     def _pick_relay(self, record: UpstreamRecord) -> Member | None:
         """Returns a live instance of the upstream's region, if any.
--- a/src/masticstage/forwarding/warmups/senders.py
+++ b/src/masticstage/forwarding/warmups/senders.py
@@ -3,6 +3,10 @@
 The limit on requests to a cold upstream applies to all instances together. One
 instance of its region is chosen by rendezvous hashing. Instances may disagree
 about which of them are live, and even two senders must not exceed the limit.
+
+Parts of a region that are cut off from each other choose a sender each. Its
+rate is in proportion to the instances of its part, so that all parts together
+stay within the limit of one.
 """
 
 from collections.abc import Iterable
@@ -26,6 +30,9 @@
     )
 
 
-def cold_interval_s(rate: float) -> float:
-    """Returns the least time between two requests to a cold upstream."""
-    return 1 / (_RATE_SHARE * rate)
+def cold_interval_s(rate: float, live_share: float = 1) -> float:
+    """Returns the least time between two requests to a cold upstream.
+
+    `live_share` is the part of the region's known instances that are live.
+    """
+    return 1 / (_RATE_SHARE * rate * live_share)
