Send nothing to cold upstreams for the first 3 s of an instance

It now waits for 3 s, the three rounds in which it asks its seeds. Others may already choose it; the upstream then stays idle for that time.

test_instances_that_have_just_started_send_nothing_to_cold_upstreams failed before (3 sent, 0 expected) and passes, with tests/forwarding and tests/edges/test_gateway.py.

--- a/src/masticstage/forwarding/candidate_finder.py
+++ b/src/masticstage/forwarding/candidate_finder.py
@@ -1,8 +1,9 @@
 """Finds the upstreams that may serve a request, and peers to relay it."""
 
 from collections.abc import Iterator
+from datetime import timedelta
 from random import Random
-from typing import final
+from typing import Final, final
 
 import attrs
 
@@ -18,6 +19,10 @@
 )
 from masticstage.membership import Liveness, Member, MemberTable
 
+#: Age from which an instance knows the others of its region, also if its seeds
+#: start after it. Before that it may take itself for the only one.
+_PEERS_KNOWN_AFTER: Final = timedelta(seconds=3)
+
 
 @final
 @attrs.define
@@ -29,6 +34,11 @@
     _view: FleetView
     _loads: LoadTable
     _members: MemberTable
+    _began_at: timedelta = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Notes the start of this instance."""
+        self._began_at = self._clock.elapsed()
 
     def is_cold(self, upstream: KnownUpstream) -> bool:
         """Returns whether an upstream is still warming up."""
@@ -106,6 +116,8 @@
         state: UpstreamState,
     ) -> bool:
         """Returns whether this instance may send to a cold upstream now."""
+        if self._clock.elapsed() - self._began_at < _PEERS_KNOWN_AFTER:
+            return False
         own = self._members.own
         names = [own.identity.name]
         names.extend(
