Ask upstreams whose evacuation has ended before they get requests

Such upstreams are now in doubt: the first request that chooses one waits for a health check, which all others share, and then chooses again with what the check has told.

test_upstreams_that_turned_cold_while_evacuated_are_not_flooded failed before and passes, with tests/forwarding.

--- a/src/masticstage/edges/activity.py
+++ b/src/masticstage/edges/activity.py
@@ -31,7 +31,8 @@
     the requests of callers end with an answer of the gateway.  While an
     upstream is checked after a broken answer, `broken_requests` holds the
     requests that broke on it, by its name.  Cancelling `watch_scope` ends the
-    wait of the watch of the platform's records.
+    wait of the watch of the platform's records.  `confirmations` has the health
+    checks for which requests wait, by the name of the upstream.
     """
 
     open_requests: int = 0
@@ -40,3 +41,4 @@
     broken_requests: dict[str, BrokenRequests] = attrs.field(factory=dict)
     pending: PendingDispatches = attrs.field(factory=PendingDispatches)
     watch_scope: trio.CancelScope | None = None
+    confirmations: dict[str, trio.Event] = attrs.field(factory=dict)
--- a/src/masticstage/edges/attempts.py
+++ b/src/masticstage/edges/attempts.py
@@ -1,19 +1,31 @@
 """Chooses the upstream for a request's next attempt, or why there is none."""
 
 from datetime import timedelta
+from functools import partial
 
 from masticstage.edges.notices import rests_of
 from masticstage.edges.refusals import QUARANTINED
 from masticstage.edges.request_context import RequestContext
+from masticstage.edges.warmups.confirmations import choose_confirmed
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.upstream_notices import retry_after_rest
 
 
-def choose_candidate(context: RequestContext) -> Choice | None:
+async def choose_candidate(context: RequestContext) -> Choice | None:
     """Returns the upstream for the next attempt.
 
     If there is none, returns None and stores the reason in the context.
     """
+    choice = await choose_confirmed(context.gateway, partial(_choose, context))
+    if choice is None:
+        return None
+    if context.history.has_reached_upstream and not _take_retry(context):
+        return None
+    return choice
+
+
+def _choose(context: RequestContext) -> Choice | None:
+    """Returns the best upstream now; stores the reason if there is none."""
     gateway, history = context.gateway, context.history
     routed = context.routed
     if not _may_dispatch(context):
@@ -29,8 +41,6 @@
         return None
     if not history.may_have_run and _is_predicted_too_late(context, choice):
         return None
-    if history.has_reached_upstream and not _take_retry(context):
-        return None
     return choice
 
 
--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -219,6 +219,7 @@
     record = upstream.record
     service_config = gateway.views.fleet.service_config(record.service)
     path = service_config.health_path if service_config else '/'
+    asked_at = gateway.clock.elapsed()
     connection = await connect(
         record.address,
         _CONNECT_TIMEOUT_S,
@@ -249,6 +250,9 @@
         )
     if facts.cold_for:
         _record_warm_up(gateway, upstream, facts.cold_for)
+    gateway.views.fleet.doubts.settle(
+        record.name, gateway.clock.elapsed() - asked_at
+    )
     return None
 
 
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -254,9 +254,9 @@
     while True:
         await sleep_until_next(_DISCARD_INTERVAL_S)
         upstreams = gateway.views.fleet.all_upstreams()
-        gateway.views.loads.keep_only(
-            [upstream.record.name for upstream in upstreams]
-        )
+        names = [upstream.record.name for upstream in upstreams]
+        gateway.views.loads.keep_only(names)
+        gateway.views.fleet.doubts.keep_only(names)
         connections = gateway.connections
         for pool in (
             connections.upstreams,
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final
@@ -31,6 +32,7 @@
 from masticstage.edges.quotas import QUOTA_PATH, answer_quota_request
 from masticstage.edges.streaming import IdlePolicy, forward_stream, is_reachable
 from masticstage.edges.team_keys import count_team, name_relayed_team
+from masticstage.edges.warmups.confirmations import choose_confirmed
 from masticstage.exceptions import InvalidRequestError
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.crashes.causes import possible_causes
@@ -147,11 +149,8 @@
     reply: Reply,
 ) -> None:
     has_room = reply.take_room(len(routed.request.body))
-    choice = (
-        _choose_candidate(gateway, routed, message.upstream)
-        if has_room
-        else None
-    )
+    choose = partial(_choose_candidate, gateway, routed, message.upstream)
+    choice = await choose_confirmed(gateway, choose) if has_room else None
     if choice is None:
         not_sent = DispatchOutcome(
             Evidence.NOT_SENT,
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -98,7 +98,7 @@
     """Dispatches until an answer is delivered or no attempt is left."""
     while True:
         await context.reply.stop_if_caller_left()
-        choice = choose_candidate(context)
+        choice = await choose_candidate(context)
         if choice is None:
             await end_unanswered(context)
             return
--- /dev/null
+++ b/src/masticstage/edges/warmups/__init__.py
@@ -0,0 +1,1 @@
+"""Finds out which upstreams are cold, and tells other instances."""
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -17,6 +17,7 @@
 from masticstage.forwarding.removals import Removals
 from masticstage.forwarding.routes import RouteTable, ServiceConfig
 from masticstage.forwarding.upstream_notices import UpstreamNotices
+from masticstage.forwarding.warmups.doubts import Doubts
 from masticstage.forwarding.warmups.told import ToldWarmUps
 
 #: Time after which a leaving upstream gets nothing, unless settings name one.
@@ -74,6 +75,7 @@
     _evacuations: dict[str, Evacuation] = attrs.field(factory=dict)
     removals: Removals = attrs.field(init=False)
     told_warm_ups: ToldWarmUps = attrs.field(init=False)
+    doubts: Doubts = attrs.field(init=False)
     _notices: UpstreamNotices = attrs.field(init=False)
     _kept_lists: _ServiceLists | None = None
     _began_at: timedelta = attrs.field(init=False)
@@ -83,6 +85,7 @@
         self._began_at = self._clock.elapsed()
         self.removals = Removals(self._clock)
         self.told_warm_ups = ToldWarmUps(self._clock)
+        self.doubts = Doubts(self._clock)
         self._notices = UpstreamNotices(self._clock, self._removal_time)
 
     @property
@@ -137,6 +140,7 @@
         self._kept_lists = None
         evacuation = self._evacuations.pop(key, None)
         if evacuation is not None:
+            _doubt_all(self.doubts, self._upstreams.values(), evacuation)
             return f'end of evacuation of {evacuation.data_centre}'
         upstream = self._upstreams.get(key)
         if upstream is None:
@@ -194,6 +198,8 @@
             for key in due
             if key in self._evacuations
         ]
+        for evacuation in evacuations:
+            _doubt_all(self.doubts, self._upstreams.values(), evacuation)
         upstreams = [
             self._upstreams.pop(key).record
             for key in due
@@ -310,6 +316,15 @@
     return record.is_leaving or notices.is_leaving(record)
 
 
+def _doubt_all(
+    doubts: Doubts, upstreams: Iterable[KnownUpstream], ended: Evacuation
+) -> None:
+    """Doubts the upstreams of a data centre whose evacuation has ended."""
+    for upstream in upstreams:
+        if upstream.record.data_centre == ended.data_centre:
+            doubts.add(upstream.record.name)
+
+
 def _build_lists(
     notice_changes: int,
     usable: list[KnownUpstream],
