Ask an upstream again after its idle connections have ended

An upstream that starts again under its old name is another process, cold and idle, and so the first choice of every instance; its record says so up to 1.5 s later, or not at all while the platform is away. An instance whose idle connections to it have ended now asks it first, if none is left.

test_an_upstream_is_not_flooded_after_its_connections_have_ended failed before and passes.

--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -372,6 +372,18 @@
         idle = self._idle.get(address, [])
         return bool(idle) and idle[-1].idle_s <= self._max_idle_s
 
+    def has_lost(self, address: str) -> bool:
+        """Returns whether idle connections have ended and none is left.
+
+        Those are closed. The process at the address may be another one now.
+        """
+        idle = self._idle.get(address)
+        if not idle:
+            return False
+        while idle and not idle[-1].has_no_input():
+            idle.pop().close()
+        return not idle
+
     def release(self, connection: Connection) -> None:
         """Keeps a connection for reuse, or closes it if that is not safe."""
         if connection.prepare_reuse():
--- a/src/masticstage/edges/warmups/confirmations.py
+++ b/src/masticstage/edges/warmups/confirmations.py
@@ -36,7 +36,18 @@
     candidate = choice.candidate
     if candidate.via is not None or not candidate.service_config.cold_rate:
         return False
-    return gateway.views.fleet.doubts.includes(choice.upstream)
+    doubts = gateway.views.fleet.doubts
+    address = candidate.known_upstream.record.address
+    if gateway.connections.upstreams.has_lost(address):
+        if doubts.add(choice.upstream):
+            log_doubt(gateway, choice.upstream, 'connections ended')
+    return doubts.includes(choice.upstream)
+
+
+def log_doubt(gateway: Gateway, upstream: str, source: str) -> None:
+    """Logs that an upstream is asked before its next request."""
+    gateway.metrics.count('upstream_doubted')
+    gateway.log.record('upstream_doubted', upstream=upstream, source=source)
 
 
 async def _ask(gateway: Gateway, upstream: KnownUpstream) -> None:
