Tell the region when an upstream fails or is cold

What an instance finds out first now goes to all of its region in a datagram, and with gossip for 5 s. A failure at a peer is no suspicion here: the upstream is asked before its next request. Older programs ignore the datagram.

Two tests failed before and pass: ..._learns_from_a_peer_that_an_upstream_is_cold and ..._that_a_peer_suspects_is_asked_first; tests/forwarding and test_gossip.py pass.

--- a/src/masticstage/edges/exchange.py
+++ b/src/masticstage/edges/exchange.py
@@ -19,6 +19,7 @@
     unpack_loads,
 )
 from masticstage.edges.notices import find_record, log_leaving
+from masticstage.edges.warmups.findings import encode_news, learn_news
 from masticstage.forwarding.loads import SharedLoad
 from masticstage.member_messages import decode_member, encode_member
 from masticstage.membership import Liveness, Member
@@ -64,6 +65,8 @@
         )
         for report in views.fleet.notices.reports()
     )
+    if is_own_region:
+        message.news.extend(map(encode_news, views.fleet.news.reports()))
     loads = _recent_loads(gateway, is_own_region=is_own_region)
     if is_packed:
         message.packed_loads.CopyFrom(pack_loads(loads))
@@ -101,6 +104,7 @@
     else:
         views.loads.replace_peer_loads(message.sender.name, loads)
     _learn_leaving(gateway, message)
+    learn_news(gateway, message.news, message.sender.name)
     record_quarantined(
         gateway,
         views.crash_causes.learn(map(decode_cause, message.crash_causes)),
--- a/src/masticstage/edges/gossip.py
+++ b/src/masticstage/edges/gossip.py
@@ -28,6 +28,7 @@
 from masticstage.edges.near_records import wait_for_near_peers
 from masticstage.edges.records import apply_updates
 from masticstage.edges.timers import sleep_until_next
+from masticstage.edges.warmups.findings import learn_news
 from masticstage.exceptions import BrokenConnectionError, ConnectError
 from masticstage.membership import Liveness, Member
 
@@ -140,8 +141,11 @@
     datagrams: DatagramSocket,
     received: bytes,
 ) -> None:
-    """Applies a question and answers it, or applies an answer."""
+    """Applies a question and answers it, an answer, or mere news."""
     message = pb.FleetExchange.FromString(received)
+    if message.news_from:
+        learn_news(gateway, message.news, message.news_from)
+        return
     if message.question:
         answer = answer_message(gateway, message)
         sender = gateway.views.members.find(message.sender.name)
--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -7,7 +7,6 @@
 cause.
 """
 
-from datetime import timedelta
 from http import HTTPStatus
 from typing import Final
 
@@ -19,6 +18,10 @@
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.http_client import OutgoingRequest, connect
 from masticstage.edges.notices import record_leaving, record_rest
+from masticstage.edges.warmups.findings import (
+    record_failure,
+    record_health_answer,
+)
 from masticstage.exceptions import (
     BrokenConnectionError,
     ConnectError,
@@ -41,7 +44,6 @@
 #: Longest wait for a check before a request is repeated elsewhere. A refused
 #: connection is known after a millisecond.
 _MAX_WAIT_FOR_CHECK_S: Final = 0.1
-_MS: Final = timedelta(milliseconds=1)
 
 
 async def update_upstream_health(
@@ -248,31 +250,10 @@
             record.name,
             f'health check returned status {head.status}',
         )
-    if facts.cold_for:
-        _record_warm_up(gateway, upstream, facts.cold_for)
-    gateway.views.fleet.doubts.settle(
-        record.name, gateway.clock.elapsed() - asked_at
-    )
+    record_health_answer(gateway, record, asked_at, facts.cold_for)
     return None
 
 
-def _record_warm_up(
-    gateway: Gateway, upstream: KnownUpstream, cold_for: timedelta
-) -> None:
-    """Records that an upstream is cold; logs what was known before."""
-    name = upstream.record.name
-    known_left = upstream.cold_until - gateway.clock.elapsed()
-    gateway.log.record(
-        'upstream_cold',
-        upstream=name,
-        left_ms=cold_for // _MS,
-        known_left_ms=max(timedelta(), known_left) // _MS,
-        source='health check',
-    )
-    gateway.metrics.count('upstream_cold')
-    gateway.views.fleet.record_warm_up(name, cold_for)
-
-
 def _record_slowdown(
     gateway: Gateway, record: UpstreamRecord, facts: AnswerFacts
 ) -> None:
@@ -298,3 +279,4 @@
             reason=reason,
             abandoned=abandoned,
         )
+        record_failure(gateway, record)
--- a/src/masticstage/edges/warmups/confirmations.py
+++ b/src/masticstage/edges/warmups/confirmations.py
@@ -10,6 +10,7 @@
 
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.health_checks import is_healthy
+from masticstage.edges.warmups.findings import record_doubt
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.view import KnownUpstream
 
@@ -36,18 +37,10 @@
     candidate = choice.candidate
     if candidate.via is not None or not candidate.service_config.cold_rate:
         return False
-    doubts = gateway.views.fleet.doubts
     address = candidate.known_upstream.record.address
     if gateway.connections.upstreams.has_lost(address):
-        if doubts.add(choice.upstream):
-            log_doubt(gateway, choice.upstream, 'connections ended')
-    return doubts.includes(choice.upstream)
-
-
-def log_doubt(gateway: Gateway, upstream: str, source: str) -> None:
-    """Logs that an upstream is asked before its next request."""
-    gateway.metrics.count('upstream_doubted')
-    gateway.log.record('upstream_doubted', upstream=upstream, source=source)
+        record_doubt(gateway, choice.upstream, 'connections ended')
+    return gateway.views.fleet.doubts.includes(choice.upstream)
 
 
 async def _ask(gateway: Gateway, upstream: KnownUpstream) -> None:
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -18,6 +18,7 @@
 from masticstage.forwarding.routes import RouteTable, ServiceConfig
 from masticstage.forwarding.upstream_notices import UpstreamNotices
 from masticstage.forwarding.warmups.doubts import Doubts
+from masticstage.forwarding.warmups.news import RecentNews
 from masticstage.forwarding.warmups.told import ToldWarmUps
 
 #: Time after which a leaving upstream gets nothing, unless settings name one.
@@ -76,6 +77,7 @@
     removals: Removals = attrs.field(init=False)
     told_warm_ups: ToldWarmUps = attrs.field(init=False)
     doubts: Doubts = attrs.field(init=False)
+    news: RecentNews = attrs.field(init=False)
     _notices: UpstreamNotices = attrs.field(init=False)
     _kept_lists: _ServiceLists | None = None
     _began_at: timedelta = attrs.field(init=False)
@@ -86,6 +88,7 @@
         self.removals = Removals(self._clock)
         self.told_warm_ups = ToldWarmUps(self._clock)
         self.doubts = Doubts(self._clock)
+        self.news = RecentNews(self._clock)
         self._notices = UpstreamNotices(self._clock, self._removal_time)
 
     @property
