Ask upstreams whether they are cold while the platform is away

While the platform does not answer, one instance of a region now asks each of its upstreams with a limited rate every 0.4 s and tells the others. An upstream that fails such a check is not suspected for that.

test_upstreams_are_asked_while_the_platform_is_away failed before and passes; tests of gateway, notices, crashing prompts and doubts pass.

--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -36,6 +36,7 @@
 )
 from masticstage.edges.serving import serve_caller
 from masticstage.edges.timers import sleep_until_next
+from masticstage.edges.warmups.outage_checks import start_outage_checks
 from masticstage.forwarding.drain_times import answer_time, stop_time
 from masticstage.forwarding.routes import CallerLimits
 from masticstage.forwarding.wire import RawRequest
@@ -198,6 +199,7 @@
     while True:
         await _refresh_after_pause(gateway)
         start_due_checks(gateway)
+        start_outage_checks(gateway)
         log_pace_changes(gateway)
         apply_due_removals(gateway)
         observe_members(gateway)
--- a/src/masticstage/forwarding/warmups/doubts.py
+++ b/src/masticstage/forwarding/warmups/doubts.py
@@ -19,11 +19,13 @@
 @final
 @attrs.define
 class Doubts:
-    """The upstreams in doubt, by name, since when, and when each answered."""
+    """The upstreams in doubt, by name, since when, and when each
+    was asked and answered."""
 
     _clock: Clock
     _since: dict[str, timedelta] = attrs.field(factory=dict)
     _answered_at: dict[str, timedelta] = attrs.field(factory=dict)
+    _asked_at: dict[str, timedelta] = attrs.field(factory=dict)
 
     def add(self, upstream: str, age: timedelta = _NO_TIME) -> bool:
         """Records a doubt that arose `age` ago; returns whether it is new.
@@ -56,16 +58,19 @@
         """Returns whether an upstream has to be asked first."""
         return upstream in self._since
 
-    def since_answer(self, upstream: str) -> timedelta:
-        """Returns the time since the last answer; very long without any."""
-        answered_at = self._answered_at.get(upstream)
-        if answered_at is None:
+    def record_question(self, upstream: str) -> None:
+        """Records that an upstream is asked now."""
+        self._asked_at[upstream] = self._clock.elapsed()
+
+    def since_question(self, upstream: str) -> timedelta:
+        """Returns the time since the last question; very long without any."""
+        asked_at = self._asked_at.get(upstream)
+        if asked_at is None:
             return timedelta.max
-        return self._clock.elapsed() - answered_at
+        return self._clock.elapsed() - asked_at
 
     def keep_only(self, names: Collection[str]) -> None:
         """Forgets all other upstreams."""
-        for removed in self._answered_at.keys() - set(names):
-            self._answered_at.pop(removed)
-        for removed in self._since.keys() - set(names):
-            self._since.pop(removed)
+        for known in (self._since, self._answered_at, self._asked_at):
+            for removed in known.keys() - set(names):
+                known.pop(removed)
--- a/tests/forwarding/test_doubts.py
+++ b/tests/forwarding/test_doubts.py
@@ -44,25 +44,25 @@
     assert doubts.add('u-1', age_s * SECOND) is is_new
 
 
-def test_the_time_since_an_answer_is_known():
+def test_the_time_since_a_question_is_known():
     clock, doubts = _doubts_at(10)
-    assert doubts.since_answer('u-1') == timedelta.max
-    doubts.settle('u-1')
+    assert doubts.since_question('u-1') == timedelta.max
+    doubts.record_question('u-1')
     clock.advance(SECOND)
-    assert doubts.since_answer('u-1') == SECOND
+    assert doubts.since_question('u-1') == SECOND
 
 
 def test_removed_upstreams_are_forgotten():
     _, doubts = _doubts_at(10)
     for name in ('u-1', 'u-2'):
-        doubts.settle(name)
-        doubts.add(name, -SECOND)
+        doubts.record_question(name)
+        doubts.add(name)
 
     doubts.keep_only(['u-2'])
 
     assert not doubts.includes('u-1')
     assert doubts.includes('u-2')
-    assert doubts.since_answer('u-1') == timedelta.max
+    assert doubts.since_question('u-1') == timedelta.max
 
 
 def test_an_evacuation_that_ends_leaves_its_upstreams_in_doubt():
