Doubt what was known before a pause, or only by a peer

An instance that starts while the platform is away takes the records of a peer, however old, and one that was paused goes on with its own; neither can tell that upstreams have turned cold since. Both now ask before the next request, unless the platform has answered them.

--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -36,6 +36,7 @@
 )
 from masticstage.edges.serving import serve_caller
 from masticstage.edges.timers import sleep_until_next
+from masticstage.edges.warmups.findings import doubt_all
 from masticstage.edges.warmups.outage_checks import start_outage_checks
 from masticstage.forwarding.drain_times import answer_time, stop_time
 from masticstage.forwarding.routes import CallerLimits
@@ -232,7 +233,8 @@
         return
     gateway.log.record('paused')
     await notify_all_peers(gateway)
-    await refresh_records(gateway)
+    if not await refresh_records(gateway):
+        doubt_all(gateway, 'pause')
     gateway.pause_detector.reset()
 
 
--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -13,6 +13,7 @@
     PlatformBusyError,
     PlatformUnavailableError,
 )
+from masticstage.forwarding.published import Published, UpstreamRecord
 from masticstage.forwarding.read_pauses import batch_pause_s, watch_wait_s
 from masticstage.forwarding.record_cache import RecordEvent, RecordUpdates
 
@@ -267,6 +268,18 @@
         until = _keep_until(gateway)
         return fleet.apply_rolled_back(event.key, published, until)
     if published is not None:
+        _doubt_unread(gateway, published)
         return fleet.apply(event.key, published)
     due = gateway.views.outage.removals_apply_at()
     return fleet.remove(event.key, due if is_reliable else None)
+
+
+def _doubt_unread(gateway: Gateway, published: Published) -> None:
+    """Doubts an upstream known only by a peer's copy of its record.
+
+    The platform has not answered this instance yet, so the copy may be old.
+    """
+    if isinstance(published, UpstreamRecord) and not (
+        gateway.views.outage.has_answered
+    ):
+        gateway.views.fleet.doubts.add(published.name)
--- a/src/masticstage/edges/warmups/findings.py
+++ b/src/masticstage/edges/warmups/findings.py
@@ -55,6 +55,12 @@
         _log_doubt(gateway, upstream, source)
 
 
+def doubt_all(gateway: Gateway, source: str) -> None:
+    """Doubts all upstreams, since what is known of them may be out of date."""
+    for upstream in gateway.views.fleet.all_upstreams():
+        record_doubt(gateway, upstream.record.name, source)
+
+
 def learn_news(
     gateway: Gateway, reports: Iterable[pb.UpstreamNews], source: str
 ) -> None:
--- a/src/masticstage/forwarding/outage.py
+++ b/src/masticstage/forwarding/outage.py
@@ -49,6 +49,11 @@
         """Whether the last call failed."""
         return self._is_ongoing
 
+    @property
+    def has_answered(self) -> bool:
+        """Whether any call has succeeded."""
+        return self._answered_at is not None
+
     @property
     def since_answer(self) -> timedelta:
         """Time since the last answer; zero before the first."""
--- a/tests/edges/test_cold_upstreams.py
+++ b/tests/edges/test_cold_upstreams.py
@@ -4,12 +4,16 @@
 upstream may take now is refused.
 """
 
+import json
+import time
 from datetime import timedelta
 
 import trio
 
 from masticstage.edges.health_checks import is_healthy
+from masticstage.edges.records import apply_updates
 from masticstage.forwarding.published import Evacuation
+from masticstage.forwarding.record_cache import RecordEvent, RecordUpdates
 from tests.edges.deployment import (
     deploy_entry,
     deploy_two_instances,
@@ -26,6 +30,8 @@
 _REQUESTS = 40
 #: Time for a notice of a peer, or for a check while the platform is away.
 _NOTICE_S = 0.8
+#: Longer than the pause of a process after which its views are refreshed.
+_PAUSE_S = 1.4
 
 
 async def _ask(deployment):
@@ -50,6 +56,10 @@
     return max(len(replica.requests) for replica in _models(deployment))
 
 
+def _is_in_doubt(gateway, upstream):
+    return gateway.views.fleet.doubts.includes(upstream)
+
+
 def _turn_cold(deployment):
     for replica in _models(deployment):
         replica.cold_ms = _COLD_MS
@@ -112,6 +122,48 @@
         assert _most_received(deployment) <= _MOST
 
 
+@run_with_timeout
+async def test_records_that_only_a_peer_has_read_leave_upstreams_in_doubt():
+    """Guards against full rate after a start while the platform is away."""
+    async with deploy_entry(replica_count=0) as deployment:
+        body = json.dumps(
+            {
+                'Service': 'model',
+                'Address': '127.0.0.1:9',
+                'Zone': 'north-a',
+                'State': 'ready',
+                'Slots': 4,
+            }
+        )
+        event = RecordEvent('servers/model-1', 1, body.encode())
+        updates = RecordUpdates((event,), 1, is_snapshot=False)
+
+        apply_updates(
+            deployment.gateway, updates, 'peer second', is_reliable=True
+        )
+
+        assert _is_in_doubt(deployment.gateway, 'model-1')
+
+
+@run_with_timeout
+async def test_upstreams_are_in_doubt_after_a_pause_without_a_refresh():
+    """Guards against full rate after a pause while the platform is away."""
+    async with deploy_entry() as deployment:
+        gateway = deployment.gateway
+        for replica in _models(deployment):
+            replica.ignores_health_checks = True
+        await trio.sleep(_NOTICE_S)
+        assert not _is_in_doubt(gateway, 'model-1')
+        # Blocks the event loop for longer than any step of an instance.
+        time.sleep(_PAUSE_S)  # noqa: ASYNC251
+        while not gateway.accepts_requests() or (
+            gateway.pause_detector.is_overdue()
+        ):
+            await trio.sleep(0.01)
+
+        assert _is_in_doubt(gateway, 'model-1')
+
+
 @run_with_timeout
 async def test_upstreams_are_asked_while_the_platform_is_away():
     """Guards against full rate to upstreams whose records are out of date."""
