Log the software version of upstreams and what a stream resumes

No log line told which version a stream went on at, or from which attempt. The version of an upstream's record and the Resumes field of a caller are now decoded and logged with each dispatch of a stream; nothing is decided by them. A record whose version is no text is unreadable, as with other fields.

--- a/src/masticstage/edges/dispatch_log.py
+++ b/src/masticstage/edges/dispatch_log.py
@@ -39,6 +39,7 @@
         tried=sorted(routed.tried),
         left_out=describe_notices(gateway.views.fleet, routed.service),
         **_warm_up_fields(gateway, choice),
+        **_stream_fields(routed, choice, options),
         **_prompt_fields(routed.request.prompt, choice),
     )
 
@@ -94,6 +95,20 @@
     return {'cold_ms': left // _MS} if left > timedelta() else {}
 
 
+def _stream_fields(
+    routed: RoutedRequest, choice: Choice, options: DispatchOptions
+) -> dict[str, str]:
+    """Returns what a stream goes on from, and at which version, for the log."""
+    if not routed.is_stream:
+        return {}
+    request = routed.request
+    fields = {'software': choice.candidate.known_upstream.record.software}
+    last_event = options.last_event_id or request.last_event_id
+    if last_event:
+        fields.update(last_event=last_event, resumes=request.resumes)
+    return fields
+
+
 def _prompt_fields(prompt: Prompt, choice: Choice) -> dict[str, object]:
     """Returns what was assumed about the prompt, for the log."""
     if not prompt.tokens_in:
--- a/src/masticstage/forwarding/published.py
+++ b/src/masticstage/forwarding/published.py
@@ -13,6 +13,7 @@
 
     `started_at_ms` distinguishes its restarts (milliseconds since 1970, 0 if
     unknown). `cold_for` is the remaining warm-up at the time of the record.
+    `software` is the version of its program, empty if it names none.
     """
 
     name: str
@@ -24,6 +25,7 @@
     is_leaving: bool = False
     cold_for: timedelta = timedelta()
     started_at_ms: int = 0
+    software: str = ''
 
 
 @attrs.frozen
--- a/src/masticstage/forwarding/requests.py
+++ b/src/masticstage/forwarding/requests.py
@@ -67,7 +67,8 @@
     `arrived`, which is on the monotonic clock. `key` is that of the caller's
     team, empty without one; until the team is known, the headers hold it too.
     `counted_tokens` is what the request counts for a limit, None if it does not
-    state that.
+    state that. A caller that takes a stream up again behind `last_event_id`
+    names in `resumes` the request whose answer brought its first event.
     """
 
     request_id: str
@@ -83,6 +84,7 @@
     last_event_id: str = ''
     key: str = attrs.field(default='', repr=False)
     counted_tokens: int | None = None
+    resumes: str = ''
 
     def fingerprint(self) -> str:
         """Returns a digest that is equal for a retry by the caller."""
--- a/src/masticstage/platform/callers.py
+++ b/src/masticstage/platform/callers.py
@@ -57,6 +57,7 @@
         fields.get(names.LAST_EVENT_ID, b'').decode('latin-1'),
         read_key(raw.headers),
         _read_total(fields.get(names.TOKEN_COUNTS, b'')),
+        fields.get(names.RESUMES, b'').decode('latin-1'),
     )
 
 
--- a/src/masticstage/platform/names.py
+++ b/src/masticstage/platform/names.py
@@ -8,6 +8,8 @@
 PROMPT_PREFIX: Final = b'x-prompt-prefix'
 TOKEN_COUNTS: Final = b'x-token-counts'
 LAST_EVENT_ID: Final = b'last-event-id'
+#: From a caller: the id of the attempt that brought a stream's first event.
+RESUMES: Final = b'resumes'
 #: From a caller, with the key of its team.
 AUTHORIZATION: Final = b'authorization'
 KEY_SCHEME: Final = b'bearer'
--- a/src/masticstage/platform/records.py
+++ b/src/masticstage/platform/records.py
@@ -80,6 +80,7 @@
     region_of: Mapping[str, str],
 ) -> UpstreamRecord:
     # `Zone` is a data centre. `State` describes readiness, not health.
+    # `Version` is that of the program, not of the weights.
     state = fields['State']
     if state not in {names.STATE_READY, names.STATE_LEAVING}:
         raise ValueError(f'unknown state {state!r}')
@@ -93,6 +94,7 @@
         state == names.STATE_LEAVING,
         read_duration(fields.get('WarmupLeftMs', 0)),
         _integer(fields.get('born', 0)),
+        read_text(fields['Version']) if 'Version' in fields else '',
     )
 
 
