--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -20,12 +20,13 @@
 from masticstage.edges.activity import Activity
 from masticstage.edges.connections import Connections
 from masticstage.edges.decision_log import DecisionLog
-from masticstage.edges.gateway import Gateway, Views
+from masticstage.edges.gateway import Gateway
 from masticstage.edges.gossip_state import GossipState
 from masticstage.edges.http_client import ConnectionPool, HeldBodies
 from masticstage.edges.instance_memory import InstanceMemory
 from masticstage.edges.quota_state import build_quota_state
 from masticstage.edges.reload import SettingsFile
+from masticstage.edges.views import Views
 from masticstage.entrysettings_schema import EntrySettings
 from masticstage.forwarding.budgets import BudgetBounds, RetryBudget
 from masticstage.forwarding.candidate_finder import CandidateFinder
--- a/src/masticstage/edges/gateway.py
+++ b/src/masticstage/edges/gateway.py
@@ -19,44 +19,18 @@
 from masticstage.edges.gossip_state import GossipState
 from masticstage.edges.quota_state import QuotaState
 from masticstage.edges.reload import SettingsFile
+from masticstage.edges.views import Views
 from masticstage.entrysettings_schema import EntrySettings
-from masticstage.forwarding.budgets import RetryBudget
-from masticstage.forwarding.choice import Chooser
-from masticstage.forwarding.crashes.crash_causes import CrashCauses
 from masticstage.forwarding.drain_times import accept_time, answer_time
-from masticstage.forwarding.loads import LoadTable
-from masticstage.forwarding.outage import OutageTracker
-from masticstage.forwarding.overload import OverloadControl
-from masticstage.forwarding.prefix_reports import PrefixReports
-from masticstage.forwarding.record_cache import RecordCache
 from masticstage.forwarding.requests import CallKind
 from masticstage.forwarding.routes import CallerLimits
-from masticstage.forwarding.view import FleetView
 from masticstage.forwarding.wire import WireFormat
-from masticstage.membership import MemberTable
 from masticstage.metrics import Metrics
 
 AsyncFunction = Callable[..., Awaitable[object]]
 _DEFAULT_LIMITS: Final = CallerLimits()
 
 
-@final
-@attrs.frozen
-class Views:
-    """Known state of the fleet, and the objects that decide from it."""
-
-    records: RecordCache
-    fleet: FleetView
-    outage: OutageTracker
-    members: MemberTable
-    loads: LoadTable
-    chooser: Chooser
-    crash_causes: CrashCauses
-    retry_budget: RetryBudget
-    overload: OverloadControl
-    prefix_reports: PrefixReports
-
-
 @final
 @attrs.frozen(eq=False)
 class Gateway:
--- a/tests/edges/test_teams.py
+++ b/tests/edges/test_teams.py
@@ -194,7 +194,7 @@
 
     async with deploy_two_regions(_team_table()) as (deployment, far):
         with mock.patch(
-            'masticstage.edges.peer_server.decode_relay_request', record_relay
+            'masticstage.edges.relay_server.decode_relay_request', record_relay
         ):
             status, _, _ = await deployment.request(
                 b'/stock/1', b'', _BEARER, _FORGED
