Go on with a stream only at the version that began it, within an answer

The version of the upstream that gives the first event is now kept with the request; only upstreams of that version may go on, also at a peer that relays, and an answer of another one, as an older peer may choose it, is dropped. If there is none, the stream ends visibly incomplete. An upstream that says that it is cold, unlike its record, may have started since with other software: its version counts as unknown.

--- a/src/masticstage/edges/attempts.py
+++ b/src/masticstage/edges/attempts.py
@@ -35,9 +35,11 @@
         routed.route,
         routed.service,
         history.tried,
+        routed.origin,
     )
     if choice is None:
         _explain_rests(context)
+        _explain_version(context)
         return None
     if not history.may_have_run and _is_predicted_too_late(context, choice):
         return None
@@ -53,6 +55,22 @@
         context.retry_after = retry_after_rest(rests, routed.request.request_id)
 
 
+def _explain_version(context: RequestContext) -> None:
+    """Stores that a stream cannot go on, if its version is not in service."""
+    routed = context.routed
+    if routed.origin is None:
+        return
+    versions = {
+        known.record.software
+        for known in context.gateway.views.fleet.all_upstreams()
+        if known.record.service == routed.service
+        and not context.gateway.views.fleet.is_leaving(known.record.name)
+    }
+    if not any(map(routed.origin.allows, versions)):
+        context.reason = 'the version that began the stream has left'
+        context.retry_after = routed.request.allowance
+
+
 def _take_retry(context: RequestContext) -> bool:
     """Takes a retry from the budget; stores the reason if none is left."""
     gateway, routed = context.gateway, context.routed
--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -28,6 +28,10 @@
 from masticstage.edges.http_server import Reply
 from masticstage.edges.messages import encode_relay
 from masticstage.edges.notices import record_notices_of_dispatch
+from masticstage.edges.origins.software import (
+    SOFTWARE_HEADER,
+    answering_software,
+)
 from masticstage.exceptions import (
     BrokenConnectionError,
     ConnectError,
@@ -46,7 +50,9 @@
 RELAY_PATH: Final = b'/relay'
 EVIDENCE_HEADER: Final = b'masticstage-evidence'
 UPSTREAM_HEADER: Final = b'masticstage-upstream'
-_INTERNAL_HEADERS: Final = frozenset((EVIDENCE_HEADER, UPSTREAM_HEADER))
+_INTERNAL_HEADERS: Final = frozenset(
+    (EVIDENCE_HEADER, UPSTREAM_HEADER, SOFTWARE_HEADER)
+)
 _FRAMING_HEADERS: Final = frozenset(
     (b'connection', b'keep-alive', b'transfer-encoding', b'content-length'),
 )
@@ -254,6 +260,8 @@
         routed.team_name,
         is_compressed=choice.candidate.via.takes_compressed,
     )
+    if routed.origin is not None and routed.origin.software is not None:
+        relay.software = routed.origin.software
     return OutgoingRequest(
         b'POST',
         RELAY_PATH,
@@ -295,8 +303,11 @@
         return DispatchOutcome(
             evidence, upstream, 'answer to another request', basis=basis
         )
+    software = answering_software(gateway, head, choice, upstream)
     if evidence is Evidence.ANSWERED and routed.is_stream:
-        return await _open_stream(connection, head, upstream, framer)
+        outcome = await _open_stream(connection, head, upstream, framer)
+        outcome.software = software
+        return outcome
     body = await connection.read_body()
     return DispatchOutcome(
         evidence,
@@ -305,6 +316,7 @@
         _forwardable_head(head),
         body,
         basis=basis,
+        software=software,
     )
 
 
--- a/src/masticstage/edges/dispatch_outcome.py
+++ b/src/masticstage/edges/dispatch_outcome.py
@@ -8,6 +8,7 @@
 from masticstage.edges.http_client import Connection, ConnectionPool
 from masticstage.forwarding.crashes.causes import Causes
 from masticstage.forwarding.evidence import Evidence
+from masticstage.forwarding.origins.origin import Origin
 from masticstage.forwarding.requests import CallerRequest, CallKind
 from masticstage.forwarding.routes import Route
 from masticstage.forwarding.teams import Team
@@ -19,7 +20,8 @@
     """A request with its route, service and the upstreams already tried.
 
     `causes` are its possible causes of a crash. `route` is the effective one of
-    its `team`, which is None without teams and for a public route.
+    its `team`, which is None without teams and for a public route. `origin` is
+    what began its stream, None before that.
     """
 
     request: CallerRequest
@@ -29,6 +31,7 @@
     causes: Causes
     tried: frozenset[str] = frozenset()
     team: Team | None = None
+    origin: Origin | None = None
 
     @property
     def team_name(self) -> str:
@@ -59,7 +62,8 @@
     `upstream` is the one that was used, since a relaying peer may choose
     another.  `body` is the complete body.  If `connection` is set, the answer
     is a stream that is still open, and `body` holds its first complete events.
-    `basis` is what the evidence of an answer was taken from.
+    `basis` is what the evidence of an answer was taken from, `software` the
+    version of the upstream that answered, None if it is unknown.
     """
 
     evidence: Evidence
@@ -70,6 +74,7 @@
     connection: Connection | None = None
     pool: ConnectionPool | None = None
     basis: AnswerBasis | None = None
+    software: str | None = None
 
     def take_body(self) -> bytes:
         """Returns the body; it is not held any longer."""
--- a/src/masticstage/edges/relay_server.py
+++ b/src/masticstage/edges/relay_server.py
@@ -19,6 +19,7 @@
 from masticstage.edges.health_checks import update_upstream_health
 from masticstage.edges.http_server import Reply
 from masticstage.edges.messages import decode_relay_request, decode_relay_route
+from masticstage.edges.origins.software import software_header
 from masticstage.edges.streaming import IdlePolicy, forward_stream, is_reachable
 from masticstage.edges.team_keys import count_team, name_relayed_team
 from masticstage.edges.warmups.confirmations import choose_confirmed
@@ -26,6 +27,7 @@
 from masticstage.forwarding.crashes.causes import possible_causes
 from masticstage.forwarding.events import EventFramer
 from masticstage.forwarding.evidence import Evidence
+from masticstage.forwarding.origins.origin import Origin
 from masticstage.forwarding.requests import Headers
 from masticstage.forwarding.routes import Route
 from masticstage.forwarding.wire import DispatchOptions, RawRequest
@@ -58,6 +60,7 @@
         possible_causes(request, fingerprint),
         frozenset(message.tried),
         team,
+        _origin_of(message),
     )
     gateway.activity.open_requests += 1
     try:
@@ -74,6 +77,13 @@
         gateway.activity.open_requests -= 1
 
 
+def _origin_of(message: pb.RoutedRelay) -> Origin | None:
+    """Returns what began the stream of a relayed request, if it goes on."""
+    if not message.HasField('software'):
+        return None
+    return Origin(message.service, message.software)
+
+
 async def _relay_to_local_upstream(
     gateway: Gateway,
     routed: RoutedRequest,
@@ -113,6 +123,7 @@
         routed.route,
         preferred,
         routed.tried,
+        routed.origin,
     )
 
 
@@ -247,4 +258,5 @@
     return (
         (EVIDENCE_HEADER, outcome.evidence.value.encode()),
         (UPSTREAM_HEADER, outcome.upstream.encode('latin-1')),
+        software_header(outcome.software),
     )
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -8,6 +8,7 @@
 
 from masticstage.edges.attempts import choose_candidate
 from masticstage.edges.charging import charge_team, give_back
+from masticstage.edges.continuations import accept_answer
 from masticstage.edges.dispatch import count_in_flight, dispatch
 from masticstage.edges.dispatch_outcome import DispatchOutcome
 from masticstage.edges.endings import end_unanswered, record_end, send_answer
@@ -159,12 +160,9 @@
 ) -> bool:
     """Sends an answer to the caller; False if another attempt is needed."""
     if outcome.evidence is Evidence.ANSWERED:
-        if outcome.connection is None and not context.reply.is_started:
-            await send_answer(context, outcome)
-            return True
         try:
-            return _is_continuation(context, outcome) and (
-                await _forward_stream(context, choice, outcome)
+            return accept_answer(context, outcome) and (
+                await _forward(context, choice, outcome)
             )
         finally:
             outcome.close()
@@ -173,23 +171,16 @@
     return False
 
 
-def _is_continuation(
+async def _forward(
     context: RequestContext,
+    choice: Choice,
     outcome: DispatchOutcome,
 ) -> bool:
-    """Returns whether an answer may go on with the stream that has begun.
-
-    It must have the media type of the stream; a text about an error has not.
-    """
-    media_type = _media_type(outcome)
-    if not context.reply.is_started:
-        context.media_type = media_type
-    return media_type == context.media_type
-
-
-def _media_type(outcome: DispatchOutcome) -> bytes:
-    headers = dict(outcome.head.headers) if outcome.head else {}
-    return headers.get(b'content-type', b'')
+    """Forwards an answer; False if it is a stream that broke."""
+    if outcome.connection is None and not context.reply.is_started:
+        await send_answer(context, outcome)
+        return True
+    return await _forward_stream(context, choice, outcome)
 
 
 async def _forward_stream(
--- a/src/masticstage/forwarding/candidate_finder.py
+++ b/src/masticstage/forwarding/candidate_finder.py
@@ -1,6 +1,6 @@
 """Finds the upstreams that may serve a request, and peers to relay it."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from datetime import timedelta
 from random import Random
 from typing import Final, final
@@ -10,6 +10,7 @@
 from masticstage.clock import Clock
 from masticstage.forwarding.candidates import Candidate
 from masticstage.forwarding.loads import LoadTable, UpstreamState
+from masticstage.forwarding.origins.origin import Origin
 from masticstage.forwarding.published import UpstreamRecord
 from masticstage.forwarding.routes import Route, ServiceConfig
 from masticstage.forwarding.view import FleetView, KnownUpstream
@@ -44,6 +45,29 @@
         """Returns whether an upstream is still warming up."""
         return upstream.cold_until > self._clock.elapsed()
 
+    def software_of(self, upstream: KnownUpstream) -> str | None:
+        """Returns the software version of an upstream, None if unknown.
+
+        One that is cold, unlike its record, may be a process that has started
+        since, of another version.
+        """
+        record = upstream.record
+        if self.is_cold(upstream) and not record.cold_for:
+            return None
+        return record.software
+
+    def of_origin(
+        self, candidates: Sequence[Candidate], origin: Origin | None
+    ) -> Sequence[Candidate]:
+        """Returns the candidates that may go on with a stream, all of None."""
+        if origin is None:
+            return candidates
+        return [
+            candidate
+            for candidate in candidates
+            if origin.allows(self.software_of(candidate.known_upstream))
+        ]
+
     def is_in_own_data_centre(self, candidate: Candidate) -> bool:
         """Returns whether a candidate is in this instance's data centre."""
         own = self._members.own.data_centre
--- a/src/masticstage/forwarding/choice.py
+++ b/src/masticstage/forwarding/choice.py
@@ -21,6 +21,7 @@
 from masticstage.forwarding.first_events import FirstEventTimes
 from masticstage.forwarding.hits import PrefixHitRates
 from masticstage.forwarding.loads import LoadTable
+from masticstage.forwarding.origins.origin import Origin
 from masticstage.forwarding.pacer import Pacer
 from masticstage.forwarding.prefix_homes import (
     can_copy,
@@ -144,10 +145,15 @@
         route: Route,
         service: str,
         tried: Collection[str] = (),
+        origin: Origin | None = None,
     ) -> Choice | None:
-        """Returns the candidate with the lowest cost, None without any."""
+        """Returns the candidate with the lowest cost, None without any.
+
+        A stream that goes on needs one of the version that began it.
+        """
         candidates = list(self._finder.candidates(route, service))
-        choices = self._compare(request, route, candidates, candidates, tried)
+        allowed = self._finder.of_origin(candidates, origin)
+        choices = self._compare(request, route, candidates, allowed, tried)
         return min(choices, key=_cost, default=None)
 
     def choose_local(
@@ -156,6 +162,7 @@
         route: Route,
         preferred: str,
         tried: Collection[str],
+        origin: Origin | None = None,
     ) -> Choice | None:
         """Returns a candidate in this region for a relayed request.
 
@@ -164,11 +171,12 @@
         """
         service = route.service_for(request.request_id)
         candidates = list(self._finder.candidates(route, service))
+        allowed = self._finder.of_origin(candidates, origin)
         choices = self._compare(
             request,
             route,
             candidates,
-            [candidate for candidate in candidates if candidate.via is None],
+            [candidate for candidate in allowed if candidate.via is None],
             tried,
         )
         best = min(choices, key=_cost, default=None)
@@ -236,6 +244,10 @@
             return timedelta()
         return timedelta(seconds=self._round_trip_s(candidate.via.region) / 2)
 
+    def software_of(self, upstream: KnownUpstream) -> str | None:
+        """Returns the version of an upstream, None if it is unknown."""
+        return self._finder.software_of(upstream)
+
     def is_cold(self, upstream: KnownUpstream) -> bool:
         """Returns whether an upstream is still warming up."""
         return self._finder.is_cold(upstream)
