Let a stream that is taken up go on only at its version

Callers whose streams had broken off took them up again and got, with status 200 and to the end, the rest from another software version: no instance read Resumes or remembered what had begun a stream. An instance now notes service and version as the first event passes. While a service may have had several versions within the life of a stream, notes go to an instance of the region and one of another. At a take-up an instance without a note asks the others; without any note, the only version that was in service for as long as a stream lasts is the origin. What nobody can prove is refused at once, with a Retry-After that is all of the caller's time: after a loss of all instances nothing is remembered, and an old version may have just left. A take-up also stays at the service that began the stream.

Older programs answer no question and send no notes; what they began is refused while versions differ.

--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -33,6 +33,9 @@
 from masticstage.forwarding.choice import Chooser
 from masticstage.forwarding.crashes.crash_causes import CrashCauses
 from masticstage.forwarding.loads import LoadTable
+from masticstage.forwarding.origins.history import SoftwareHistory
+from masticstage.forwarding.origins.known import Origins
+from masticstage.forwarding.origins.notes import OriginNotes
 from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.overload import OverloadControl
 from masticstage.forwarding.pacer import Pacer
@@ -159,4 +162,5 @@
         RetryBudget(clock, bounds, 2 * len(settings.places)),
         OverloadControl(clock),
         PrefixReports(clock),
+        Origins(OriginNotes(clock), SoftwareHistory(clock)),
     )
--- a/src/masticstage/edges/continuations.py
+++ b/src/masticstage/edges/continuations.py
@@ -8,7 +8,7 @@
 
 
 def accept_answer(context: RequestContext, outcome: DispatchOutcome) -> bool:
-    """Returns whether the answer may be forwarded, as a start or further.
+    """Returns whether the answer may be forwarded, and notes what it begins.
 
     What goes on with a stream must have its media type, which a text about an
     error has not, and be of the software version that began it.
@@ -25,9 +25,28 @@
     elif not routed.origin.allows(outcome.software):
         context.gateway.metrics.count('other_software')
         return False
+    _note_origin(context)
     return True
 
 
+def _note_origin(context: RequestContext) -> None:
+    """Notes the origin of a stream that its caller may take up again.
+
+    The caller names the request that brought the first event, which may have
+    been an earlier one of its own.
+    """
+    routed = context.routed
+    origin = routed.origin
+    if origin is None or origin.software is None:
+        return
+    if routed.is_stream and routed.route.is_resumable:
+        request = routed.request
+        notes = context.gateway.views.origins.notes
+        notes.record(request.request_id, origin)
+        if request.resumes:
+            notes.record(request.resumes, origin)
+
+
 def _media_type(outcome: DispatchOutcome) -> bytes:
     headers = dict(outcome.head.headers) if outcome.head else {}
     return headers.get(b'content-type', b'')
--- a/src/masticstage/edges/gossip.py
+++ b/src/masticstage/edges/gossip.py
@@ -26,6 +26,7 @@
 from masticstage.edges.lost_records import apply_lost
 from masticstage.edges.messages import decode_updates
 from masticstage.edges.near_records import wait_for_near_peers
+from masticstage.edges.origins.spreading import learn_origins
 from masticstage.edges.records import apply_updates
 from masticstage.edges.timers import sleep_until_next
 from masticstage.edges.warmups.findings import learn_news
@@ -145,6 +146,7 @@
     message = pb.FleetExchange.FromString(received)
     if message.news_from:
         learn_news(gateway, message.news, message.news_from)
+        learn_origins(gateway, message.origins)
         return
     if message.question:
         answer = answer_message(gateway, message)
--- a/src/masticstage/edges/lifecycle.py
+++ b/src/masticstage/edges/lifecycle.py
@@ -25,6 +25,10 @@
 from masticstage.edges.health_checks import start_due_checks
 from masticstage.edges.http_server import Reply, ServerConnection
 from masticstage.edges.listening import listen, serve_connections
+from masticstage.edges.origins.spreading import (
+    drop_old_origins,
+    spread_origins,
+)
 from masticstage.edges.pacing import log_pace_changes
 from masticstage.edges.peer_server import serve_peer
 from masticstage.edges.quotas import observe_members
@@ -201,6 +205,7 @@
         await _refresh_after_pause(gateway)
         start_due_checks(gateway)
         start_outage_checks(gateway)
+        spread_origins(gateway)
         log_pace_changes(gateway)
         apply_due_removals(gateway)
         observe_members(gateway)
@@ -232,6 +237,7 @@
     if not gateway.pause_detector.tick():
         return
     gateway.log.record('paused')
+    gateway.views.origins.history.restart()
     await notify_all_peers(gateway)
     if not await refresh_records(gateway):
         doubt_all(gateway, 'pause')
@@ -261,6 +267,7 @@
         names = [upstream.record.name for upstream in upstreams]
         gateway.views.loads.keep_only(names)
         gateway.views.fleet.doubts.keep_only(names)
+        drop_old_origins(gateway)
         connections = gateway.connections
         for pool in (
             connections.upstreams,
--- a/src/masticstage/edges/peer_server.py
+++ b/src/masticstage/edges/peer_server.py
@@ -14,6 +14,10 @@
 from masticstage.edges.http_server import Reply
 from masticstage.edges.lost_records import add_lost
 from masticstage.edges.messages import encode_updates
+from masticstage.edges.origins.questions import (
+    ORIGIN_PATH,
+    answer_origin_question,
+)
 from masticstage.edges.quotas import QUOTA_PATH, answer_quota_request
 from masticstage.edges.relay_server import serve_relay
 from masticstage.exceptions import InvalidRequestError
@@ -78,11 +82,24 @@
     )
 
 
+async def _handle_origin_question(
+    gateway: Gateway,
+    raw: RawRequest,
+    reply: Reply,
+) -> None:
+    question = pb.OriginQuestion.FromString(raw.body)
+    answer = answer_origin_question(gateway, question)
+    await reply.send_complete(
+        HTTPStatus.OK, _PROTOBUF_HEADERS, answer.SerializeToString()
+    )
+
+
 _PEER_HANDLERS: Final = MappingProxyType[bytes, _PeerHandler](
     {
         b'/exchange': _handle_gossip,
         b'/news': _handle_updates_request,
         QUOTA_PATH: _handle_quota_request,
+        ORIGIN_PATH: _handle_origin_question,
         RELAY_PATH: serve_relay,
     }
 )
--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -41,6 +41,9 @@
     taken all of them.
     """
     before = gateway.views.records.revision
+    if updates.is_snapshot:
+        # What was written and removed before is not in it.
+        gateway.views.origins.history.restart()
     if _begins_era(gateway, updates):
         _begin_rollback(gateway, updates, source)
     for event in gateway.views.records.apply(updates):
@@ -269,6 +272,8 @@
         return fleet.apply_rolled_back(event.key, published, until)
     if published is not None:
         _doubt_unread(gateway, published)
+        if isinstance(published, UpstreamRecord):
+            gateway.views.origins.history.observe(published)
         return fleet.apply(event.key, published)
     due = gateway.views.outage.removals_apply_at()
     return fleet.remove(event.key, due if is_reliable else None)
--- a/src/masticstage/edges/serving.py
+++ b/src/masticstage/edges/serving.py
@@ -15,6 +15,7 @@
 from masticstage.edges.gateway import Gateway
 from masticstage.edges.health_checks import update_upstream_health
 from masticstage.edges.http_server import Reply
+from masticstage.edges.origins.take_ups import find_origin
 from masticstage.edges.refusals import (
     DRAINING_RETRY_AFTER,
     Refusal,
@@ -54,6 +55,10 @@
         await send_refusal(gateway, reply, '', refusal)
         return
     routed = await find_route(gateway, request)
+    if isinstance(routed, Refusal):
+        await send_refusal(gateway, reply, request.request_id, routed)
+        return
+    routed = await find_origin(gateway, routed)
     if isinstance(routed, Refusal):
         await send_refusal(gateway, reply, request.request_id, routed)
         return
--- a/src/masticstage/edges/views.py
+++ b/src/masticstage/edges/views.py
@@ -8,6 +8,7 @@
 from masticstage.forwarding.choice import Chooser
 from masticstage.forwarding.crashes.crash_causes import CrashCauses
 from masticstage.forwarding.loads import LoadTable
+from masticstage.forwarding.origins.known import Origins
 from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.overload import OverloadControl
 from masticstage.forwarding.prefix_reports import PrefixReports
@@ -31,3 +32,4 @@
     retry_budget: RetryBudget
     overload: OverloadControl
     prefix_reports: PrefixReports
+    origins: Origins
--- a/src/masticstage/forwarding/warmups/senders.py
+++ b/src/masticstage/forwarding/warmups/senders.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-import xxhash
+from masticstage.forwarding.rendezvous import choose_by_hash
 
 #: Fraction of the permitted rate that the chosen instance uses. Two senders
 #: together send at most 2 x (0.75 x rate + 1) requests in a second, which is
@@ -22,12 +22,7 @@
 
 def chosen_sender(upstream: str, instances: Iterable[str]) -> str:
     """Returns the instance that may send to a cold upstream."""
-    return max(
-        instances,
-        key=lambda name: xxhash.xxh3_64_intdigest(
-            f'{name}\0{upstream}'.encode()
-        ),
-    )
+    return choose_by_hash(upstream, instances)
 
 
 def cold_interval_s(rate: float, live_share: float = 1) -> float:
--- a/tests/edges/test_software_versions.py
+++ b/tests/edges/test_software_versions.py
@@ -3,19 +3,29 @@
 The replicas of the model have versions; a stream has six events.
 """
 
+from datetime import timedelta
+
 import attrs
+import pytest
+import trio
 
+from masticstage.forwarding.routes import Share
 from standins.faults import Fault
 from tests.edges.deployment import (
+    Deployment,
     deploy_entry,
+    deploy_two_instances,
     deploy_two_regions,
     run_with_timeout,
 )
+from tests.forwarding_builders import build_stream_route, build_table
 
 _STREAM = (
     (b'x-token-counts', b'900,50'),
     (b'x-prompt-prefix', b'a1:800,b2:100'),
 )
+#: Longer than the interval at which notes are sent to other instances.
+_SPREAD_S = 0.6
 
 
 def _set_versions(gateway, **versions):
@@ -28,6 +38,14 @@
             gateway.views.fleet.apply(f'u/{record.name}', changed)
 
 
+def _take_up(request_id, last_event=3):
+    return (
+        *_STREAM,
+        (b'last-event-id', b'%d' % last_event),
+        (b'resumes', request_id.encode()),
+    )
+
+
 def _served(deployment):
     """Returns the names of the model's replicas that got requests."""
     return {
@@ -48,6 +66,20 @@
         replica.on_run = forget_faults
 
 
+def _leave(gateway, name):
+    """Makes an upstream leave, so that it gets no new requests."""
+    for known in gateway.views.fleet.all_upstreams():
+        if known.record.name == name:
+            gone = attrs.evolve(known.record, is_leaving=True)
+            gateway.views.fleet.apply(f'u/{name}', gone)
+
+
+async def _begin(deployment):
+    """Begins a stream as request r-1; returns the replica that served it."""
+    await deployment.request(b'/ask/1', b'', *_STREAM)
+    return _served(deployment).pop()
+
+
 @run_with_timeout
 async def test_within_an_answer_no_other_version_goes_on():
     """Guards against events of two versions in one answer."""
@@ -93,6 +125,152 @@
         assert len(_served(deployment)) == 1
 
 
+@run_with_timeout
+async def test_a_take_up_goes_on_at_the_version_that_began():
+    """Guards against a take-up that is sent by load alone."""
+    async with deploy_entry(replica_count=4) as deployment:
+        _set_versions(
+            deployment.gateway,
+            model_1='v1',
+            model_2='v2',
+            model_3='v1',
+            model_4='v2',
+        )
+        began = await _begin(deployment)
+        _leave(deployment.gateway, began)
+        same = {
+            'model-1': 'model-3',
+            'model-3': 'model-1',
+            'model-2': 'model-4',
+            'model-4': 'model-2',
+        }
+
+        status, _, body = await deployment.request(
+            b'/ask/1', b'', *_take_up('r-1')
+        )
+
+        assert status == 200
+        assert body.count(b'piece') == 3
+        assert _served(deployment) == {began, same[began]}
+
+
+@run_with_timeout
+async def test_a_take_up_is_refused_if_only_another_version_is_left():
+    """Guards against a joined text where a refusal is due."""
+    async with deploy_entry() as deployment:
+        _set_versions(deployment.gateway, model_1='v1', model_2='v2')
+        began = await _begin(deployment)
+        _leave(deployment.gateway, began)
+
+        status, headers, _ = await deployment.request(
+            b'/ask/1', b'', *_take_up('r-1')
+        )
+
+        assert status == 503
+        # Nothing helps within the time that the caller waits.
+        assert float(headers[b'retry-after']) > 2
+        assert _served(deployment) == {began}
+
+
+@run_with_timeout
+async def test_a_second_take_up_goes_on_at_the_first_version():
+    """Guards against the version of the last attempt in place of the first."""
+    async with deploy_entry() as deployment:
+        _set_versions(deployment.gateway, model_1='v1', model_2='v2')
+        began = await _begin(deployment)
+        await deployment.request(b'/ask/1', b'', *_take_up('r-1', 2))
+        _leave(deployment.gateway, began)
+
+        for resumed in ('r-1', 'r-2'):
+            status, _, _ = await deployment.request(
+                b'/ask/1', b'', *_take_up(resumed)
+            )
+            assert status == 503
+
+
+@run_with_timeout
+async def test_another_instance_asks_which_version_began():
+    """Guards against a take-up at an instance that did not begin the stream."""
+    async with deploy_two_instances() as (deployment, second):
+        for gateway in (deployment.gateway, second):
+            _set_versions(gateway, model_1='v1', model_2='v2')
+        began = await _begin(deployment)
+        await trio.sleep(_SPREAD_S)
+        # As if the notes had been lost on the way.
+        second.views.origins.notes.drop_older(timedelta())
+        elsewhere = Deployment(second, deployment.replicas, last_id=10)
+
+        status, _, _ = await elsewhere.request(b'/ask/1', b'', *_take_up('r-1'))
+        assert status == 200
+        assert _served(deployment) == {began}
+
+        _leave(second, began)
+        status, _, _ = await elsewhere.request(b'/ask/1', b'', *_take_up('r-1'))
+        assert status == 503
+
+
+@run_with_timeout
+async def test_notes_survive_the_loss_of_the_instance_that_began_the_stream():
+    """Guards against an origin that only one instance knows."""
+    async with deploy_two_instances() as (deployment, second):
+        for gateway in (deployment.gateway, second):
+            _set_versions(gateway, model_1='v1', model_2='v2')
+        await _begin(deployment)
+        await trio.sleep(_SPREAD_S)
+
+        origin = second.views.origins.notes.find('r-1')
+
+        assert origin is not None
+        assert origin.service == 'model'
+        assert origin.software in {'v1', 'v2'}
+
+
+@pytest.mark.parametrize('second_version', ['v1', 'v2'])
+def test_what_no_instance_remembers_is_refused_at_once(second_version):
+    """Guards against joined streams after a loss of all instances."""
+
+    @run_with_timeout
+    async def check():
+        async with deploy_entry() as deployment:
+            _set_versions(
+                deployment.gateway, model_1='v1', model_2=second_version
+            )
+            started_at = trio.current_time()
+
+            status, headers, body = await deployment.request(
+                b'/ask/1', b'', *_take_up('before')
+            )
+
+            assert status == 503
+            assert b'which software began' in body
+            assert float(headers[b'retry-after']) > 2
+            assert trio.current_time() - started_at < 0.5
+            assert not _served(deployment)
+
+    check()
+
+
+@run_with_timeout
+async def test_a_take_up_stays_at_the_service_that_began_the_stream():
+    """Guards against a route whose shares send the take-up elsewhere."""
+    shares = (Share('model', 1), Share('shop', 1))
+    table = build_table(1, build_stream_route(shares=shares))
+    async with deploy_entry(table, replica_count=1) as deployment:
+        await deployment.request(b'/ask/1', b'', *_STREAM)
+        began = [
+            name
+            for name, replica in deployment.replicas.items()
+            if replica.requests
+        ]
+        for _ in range(8):
+            await deployment.request(b'/ask/1', b'', *_take_up('r-1'))
+        assert [
+            name
+            for name, replica in deployment.replicas.items()
+            if replica.requests
+        ] == began
+
+
 @run_with_timeout
 async def test_an_answer_of_another_version_than_was_chosen_is_not_joined():
     """Guards against a peer of an older program that ignores the version."""
