--- a/src/masticstage/composition/gateways.py
+++ b/src/masticstage/composition/gateways.py
@@ -20,18 +20,22 @@
 from masticstage.edges.activity import Activity
 from masticstage.edges.connections import Connections
 from masticstage.edges.decision_log import DecisionLog
-from masticstage.edges.gateway import Gateway, Views
+from masticstage.edges.gateway import Gateway
 from masticstage.edges.gossip_state import GossipState
 from masticstage.edges.http_client import ConnectionPool, HeldBodies
 from masticstage.edges.instance_memory import InstanceMemory
 from masticstage.edges.quota_state import build_quota_state
 from masticstage.edges.reload import SettingsFile
+from masticstage.edges.views import Views
 from masticstage.entrysettings_schema import EntrySettings
 from masticstage.forwarding.budgets import BudgetBounds, RetryBudget
 from masticstage.forwarding.candidate_finder import CandidateFinder
 from masticstage.forwarding.choice import Chooser
 from masticstage.forwarding.crashes.crash_causes import CrashCauses
 from masticstage.forwarding.loads import LoadTable
+from masticstage.forwarding.origins.history import SoftwareHistory
+from masticstage.forwarding.origins.known import Origins
+from masticstage.forwarding.origins.notes import OriginNotes
 from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.overload import OverloadControl
 from masticstage.forwarding.pacer import Pacer
@@ -158,4 +162,5 @@
         RetryBudget(clock, bounds, 2 * len(settings.places)),
         OverloadControl(clock),
         PrefixReports(clock),
+        Origins(OriginNotes(clock), SoftwareHistory(clock)),
     )
