--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -158,7 +158,7 @@
         if gateway.elapsed_s() >= ends_s:
             break
         await trio.sleep(_ENDING_CHECK_S)
-        failure = await request_health(gateway, upstream)
+        failure = await ask_health(gateway, upstream)
     return failure
 
 
@@ -171,7 +171,7 @@
     upstream: KnownUpstream,
 ) -> MasticstageError | None:
     """Checks an upstream, suspects it on failure; returns the failure."""
-    failure = await request_health(gateway, upstream)
+    failure = await ask_health(gateway, upstream)
     if failure is not None:
         _mark_suspect(gateway, upstream, str(failure))
     return failure
@@ -181,7 +181,7 @@
     """Checks a suspected upstream again; clears the suspicion if it passes."""
     record = upstream.record
     state = gateway.views.loads.state(record.name, record.started_at_ms)
-    failure = await request_health(gateway, upstream)
+    failure = await ask_health(gateway, upstream)
     if failure is not None:
         state.health.suspect(gateway.elapsed_s())
     elif state.health.clear_suspicion():
@@ -189,7 +189,7 @@
         gateway.log.record('upstream_recovered', upstream=record.name)
 
 
-async def request_health(
+async def ask_health(
     gateway: Gateway,
     upstream: KnownUpstream,
 ) -> MasticstageError | None:
@@ -201,7 +201,7 @@
         return None
     try:
         with trio.fail_after(_CHECK_TIMEOUT_S):
-            return await _exchange_health(gateway, upstream)
+            return await _request_health(gateway, upstream)
     except (ConnectError, BrokenConnectionError) as error:
         return error
     except trio.TooSlowError:
@@ -210,7 +210,7 @@
         )
 
 
-async def _exchange_health(
+async def _request_health(
     gateway: Gateway,
     upstream: KnownUpstream,
 ) -> MasticstageError | None:
--- a/src/masticstage/edges/warmups/outage_checks.py
+++ b/src/masticstage/edges/warmups/outage_checks.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from masticstage.edges.gateway import Gateway
-from masticstage.edges.health_checks import request_health
+from masticstage.edges.health_checks import ask_health
 from masticstage.forwarding.view import KnownUpstream
 from masticstage.forwarding.warmups.senders import chosen_sender
 
@@ -48,4 +48,4 @@
 async def _check(gateway: Gateway, upstream: KnownUpstream) -> None:
     """Checks an upstream; one that fails is not suspected for that."""
     gateway.views.fleet.doubts.record_question(upstream.record.name)
-    await request_health(gateway, upstream)
+    await ask_health(gateway, upstream)
