Keep a warm-up when a restored platform knows an older record

Of the same start, the shorter of two warm-ups was kept, so a copy from before the cold ended it and full rate followed (found by the reviewer). What is known is kept now. test_a_copy_from_before_does_not_end_a_warm_up failed before and passes, with the tests of rollbacks and of the store's era.

--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -362,6 +362,6 @@
 
 
 def _keep_warm(copied: KnownUpstream, known: KnownUpstream | None) -> None:
-    """Lets no copy prolong a warm-up that began with the same start."""
+    """Keeps what is known of the warm-up of the same start."""
     if known and known.record.started_at_ms == copied.record.started_at_ms:
-        copied.cold_until = min(copied.cold_until, known.cold_until)
+        copied.cold_until = known.cold_until
--- a/tests/forwarding/test_warmups.py
+++ b/tests/forwarding/test_warmups.py
@@ -82,6 +82,19 @@
     assert instance.chooser.is_cold(known)
 
 
+def test_a_copy_from_before_does_not_end_a_warm_up():
+    """Guards against a restored platform that knows an older record."""
+    instance = build_simulated_instance()
+    record = build_record(service='model', started_at_ms=7)
+    instance.add_upstream(attrs.evolve(record, cold_for=3 * SECOND))
+
+    instance.view.apply_rolled_back('u/u-1', record, 5 * SECOND)
+
+    known = instance.view.find('u-1')
+    assert known is not None
+    assert instance.chooser.is_cold(known)
+
+
 def test_parts_of_a_region_that_are_cut_off_together_stay_within_the_limit():
     """Guards against a sender in each part, each at the full rate."""
     names = [f'peer-{number}' for number in range(12)]
