--- a/src/masticstage/edges/warmups/findings.py
+++ b/src/masticstage/edges/warmups/findings.py
@@ -17,6 +17,8 @@
 from masticstage.membership import Liveness
 
 _MS: Final = timedelta(milliseconds=1)
+#: Longest time that a message within a region takes, and waits to be read.
+_MAX_TRANSIT_MS: Final = 100
 
 
 def record_health_answer(
@@ -28,7 +30,7 @@
     """Records that an upstream answered a health check, asked `asked_at`."""
     fleet = gateway.views.fleet
     now = gateway.clock.elapsed()
-    is_news = bool(cold_for) and fleet.told_warm_ups.end_of(record.name) <= now
+    is_news = fleet.told_warm_ups.is_longer(record.name, cold_for)
     if cold_for:
         _record_warm_up(gateway, record.name, cold_for, 'health check')
     is_news |= fleet.doubts.settle(record.name, now - asked_at)
@@ -100,10 +102,11 @@
     gateway: Gateway, report: pb.UpstreamNews, source: str
 ) -> None:
     fleet = gateway.views.fleet
-    fleet.doubts.settle(report.name, milliseconds(report.age_ms))
-    known_end = fleet.told_warm_ups.end_of(report.name)
-    if report.cold_ms and known_end <= gateway.clock.elapsed():
-        cold_for = milliseconds(report.cold_ms)
+    # The time on the way must not let an answer settle a later doubt.
+    age = milliseconds(report.age_ms) + milliseconds(_MAX_TRANSIT_MS)
+    fleet.doubts.settle(report.name, age)
+    cold_for = milliseconds(report.cold_ms)
+    if fleet.told_warm_ups.is_longer(report.name, cold_for):
         _record_warm_up(gateway, report.name, cold_for, source)
 
 
--- a/src/masticstage/forwarding/warmups/told.py
+++ b/src/masticstage/forwarding/warmups/told.py
@@ -5,12 +5,14 @@
 """
 
 from datetime import timedelta
-from typing import final
+from typing import Final, final
 
 import attrs
 
 from masticstage.clock import Clock
 
+_TOLERANCE: Final = timedelta(milliseconds=100)
+
 
 @final
 @attrs.define
@@ -28,6 +30,15 @@
         }
         self._ends[upstream] = max(now + cold_for, self.end_of(upstream))
 
+    def is_longer(self, upstream: str, cold_for: timedelta) -> bool:
+        """Returns whether a warm-up ends clearly later than the known one.
+
+        Each message about the same one takes some time.
+        """
+        end = self._clock.elapsed() + cold_for
+        known_end = max(self.end_of(upstream), self._clock.elapsed())
+        return end - known_end > _TOLERANCE
+
     def end_of(self, upstream: str) -> timedelta:
         """Returns when a warm-up ends (monotonic), zero if none was told."""
         return self._ends.get(upstream, timedelta())
