--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -25,6 +25,7 @@
 from masticstage.exceptions import (
     BrokenConnectionError,
     ConnectError,
+    HealthTimeoutError,
     MasticstageError,
     UpstreamFailedError,
 )
@@ -62,7 +63,9 @@
     if candidate.via is not None:
         return
     if outcome.evidence is Evidence.NOT_SENT:
-        _mark_suspect(gateway, candidate.known_upstream, outcome.reason)
+        upstream = candidate.known_upstream
+        if _mark_suspect(gateway, upstream, outcome.reason):
+            record_failure(gateway, upstream.record)
     elif outcome.evidence is Evidence.MAY_HAVE_RUN:
         broken = _note_broken_request(gateway, routed, candidate.known_upstream)
         if routed.route.is_idempotent:
@@ -173,7 +176,11 @@
     """Checks an upstream, suspects it on failure; returns the failure."""
     failure = await ask_health(gateway, upstream)
     if failure is not None:
-        _mark_suspect(gateway, upstream, str(failure))
+        is_new = _mark_suspect(gateway, upstream, str(failure))
+        # A busy upstream may be slow to answer: no reason for all instances to
+        # ask it as well.
+        if is_new and not isinstance(failure, HealthTimeoutError):
+            record_failure(gateway, upstream.record)
     return failure
 
 
@@ -205,7 +212,7 @@
     except (ConnectError, BrokenConnectionError) as error:
         return error
     except trio.TooSlowError:
-        return UpstreamFailedError(
+        return HealthTimeoutError(
             upstream.record.name, 'health check timed out'
         )
 
@@ -266,17 +273,21 @@
 
 def _mark_suspect(
     gateway: Gateway, upstream: KnownUpstream, reason: str
-) -> None:
-    """Suspects an upstream; cancels dispatches to it that may be retried."""
+) -> bool:
+    """Suspects an upstream; cancels dispatches to it that may be retried.
+
+    Returns whether it was not suspected before.
+    """
     record = upstream.record
     state = gateway.views.loads.state(record.name, record.started_at_ms)
     gateway.connections.upstreams.close_idle(record.address)
     abandoned = gateway.activity.pending.cancel(record.name)
-    if state.health.suspect(gateway.elapsed_s()):
+    is_new = state.health.suspect(gateway.elapsed_s())
+    if is_new:
         gateway.log.record(
             'upstream_suspected',
             upstream=record.name,
             reason=reason,
             abandoned=abandoned,
         )
-        record_failure(gateway, record)
+    return is_new
--- a/src/masticstage/exceptions.py
+++ b/src/masticstage/exceptions.py
@@ -252,6 +252,11 @@
     reason: str
 
 
+@attrs.define(eq=False)
+class HealthTimeoutError(UpstreamFailedError):
+    """An upstream took too long to answer a health check."""
+
+
 @attrs.define(eq=False)
 class UpstreamRefusedError(RejectedError):
     """The connection was refused before a byte of the request was sent."""
