Let a rejected health check settle no doubt

An upstream that rejects a health check as not run told nothing of its warm-up, but was taken for warm (found by the reviewer). The doubt stays, and the upstream is left out until the next check. test_a_health_check_that_is_rejected_settles_no_doubt failed before and passes.

--- a/src/masticstage/edges/health_checks.py
+++ b/src/masticstage/edges/health_checks.py
@@ -257,7 +257,8 @@
             record.name,
             f'health check returned status {head.status}',
         )
-    record_health_answer(gateway, record, asked_at, facts.cold_for)
+    if head.status == HTTPStatus.OK or facts.cold_for:
+        record_health_answer(gateway, record, asked_at, facts.cold_for)
     return None
 
 
--- a/src/masticstage/edges/warmups/confirmations.py
+++ b/src/masticstage/edges/warmups/confirmations.py
@@ -56,8 +56,13 @@
 async def _check(
     gateway: Gateway, upstream: KnownUpstream, checked: trio.Event
 ) -> None:
+    record = upstream.record
     try:
-        await is_healthy(gateway, upstream)
+        is_up = await is_healthy(gateway, upstream)
+        if is_up and gateway.views.fleet.doubts.includes(record.name):
+            # It rejected the check, so nothing is known of its warm-up.
+            state = gateway.views.loads.state(record.name, record.started_at_ms)
+            state.health.suspect(gateway.elapsed_s())
     finally:
-        gateway.activity.confirmations.pop(upstream.record.name)
+        gateway.activity.confirmations.pop(record.name)
         checked.set()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -80,6 +80,7 @@
     load: str = '1,0,8'
     cold_ms: int = 0
     ignores_health_checks: bool = False
+    rejects_health_checks: bool = False
     open_requests: int = 0
     deadly_part: str = ''
     dying_s: float = 0
@@ -177,6 +178,10 @@
         if self.ignores_health_checks:
             await trio.sleep_forever()
         status = 200 if self.is_healthy else 503
+        if self.rejects_health_checks:
+            rejected = (('X-Not-Executed', '1'), ('X-Instance-Id', self.name))
+            await send_empty_answer(stream, parser, 503, rejected)
+            return
         warm_up = [('X-Warmup-Ms', str(self.cold_ms))] if self.cold_ms else []
         head = h11.Response(
             status_code=status,
