Remember connections that ended before they expired

Idle connections are closed after a second, and with them went the sign that the process behind them had ended: 40 of 40 requests reached a cold upstream (found by the reviewer). The pool now remembers such addresses for the next choice. test_ended_connections_are_a_sign_after_they_have_expired failed before and passes. The test of a peer's word now runs without checks of the platform's outage, which hid that it would pass without it.

--- a/src/masticstage/edges/http_client.py
+++ b/src/masticstage/edges/http_client.py
@@ -42,6 +42,8 @@
 _MAX_HELD_BYTES: Final = 67_108_864
 #: Refusals after which a connection is no longer reused; it keeps their ids.
 _MAX_REFUSALS: Final = 256
+#: Addresses whose idle connections have ended that are remembered.
+_MAX_ENDED: Final = 1024
 #: Bytes that would end a line or a field of the head.
 _UNSAFE_IN_FIELD: Final = re.compile(rb'[\r\n\0]')
 _UNSAFE_IN_TARGET: Final = re.compile(rb'[\r\n\0 ]')
@@ -336,6 +338,7 @@
 
     `max_idle_s` limits the idle time of a reused connection.  Servers close
     idle connections, and a request sent at that moment may or may not run.
+    `_ended` are the addresses where that happened before a connection expired.
     """
 
     _clock: Clock
@@ -344,6 +347,7 @@
     _idle: dict[str, list[Connection]] = attrs.field(factory=dict)
     _held: HeldBodies = attrs.field(factory=HeldBodies)
     _enlarge_buffer: BufferEnlargement = keep_small
+    _ended: set[str] = attrs.field(factory=set)
     opened: int = 0
 
     async def acquire(
@@ -377,12 +381,13 @@
 
         Those are closed. The process at the address may be another one now.
         """
-        idle = self._idle.get(address)
-        if not idle:
-            return False
+        idle = self._idle.get(address, [])
+        has_lost = address in self._ended
+        self._ended.discard(address)
         while idle and not idle[-1].has_no_input():
             idle.pop().close()
-        return not idle
+            has_lost = True
+        return has_lost and not idle
 
     def release(self, connection: Connection) -> None:
         """Keeps a connection for reuse, or closes it if that is not safe."""
@@ -399,6 +404,8 @@
     def close_expired(self) -> None:
         """Closes connections that exceed the maximum idle time."""
         for address, idle in list(self._idle.items()):
+            if idle and not idle[-1].has_no_input():
+                self._note_ended(address)
             for connection in idle:
                 if connection.idle_s > self._max_idle_s:
                     connection.close()
@@ -410,6 +417,11 @@
             else:
                 self._idle.pop(address)
 
+    def _note_ended(self, address: str) -> None:
+        if len(self._ended) >= _MAX_ENDED:
+            self._ended.clear()
+        self._ended.add(address)
+
     def _take_idle(
         self, address: str, limit_s: float, request_id: str
     ) -> Connection | None:
--- a/tests/edges/test_cold_upstreams.py
+++ b/tests/edges/test_cold_upstreams.py
@@ -7,9 +7,11 @@
 import json
 import time
 from datetime import timedelta
+from unittest.mock import patch
 
 import trio
 
+from masticstage.clock import milliseconds
 from masticstage.edges.health_checks import is_healthy
 from masticstage.edges.records import apply_updates
 from masticstage.forwarding.published import Evacuation
@@ -30,6 +32,10 @@
 _REQUESTS = 40
 #: Time for a notice of a peer, or for a check while the platform is away.
 _NOTICE_S = 0.8
+#: Time after which idle connections have expired and are closed.
+_EXPIRED_S = 2.2
+#: Age from which an instance knows its peers.
+_KNOWS_PEERS_S = 3.2
 #: Longer than the pause of a process after which its views are refreshed.
 _PAUSE_S = 1.4
 
@@ -56,6 +62,10 @@
     return max(len(replica.requests) for replica in _models(deployment))
 
 
+def _without_outage_checks():
+    return patch('masticstage.edges.lifecycle.start_outage_checks')
+
+
 def _is_in_doubt(gateway, upstream):
     return gateway.views.fleet.doubts.includes(upstream)
 
@@ -92,18 +102,86 @@
         assert len(deployment.replicas['model-1'].requests) <= _MOST
 
 
+@run_with_timeout
+async def test_ended_connections_are_a_sign_after_they_have_expired():
+    """Guards against a sign that is lost as old connections are closed."""
+    async with deploy_entry() as deployment:
+        await _ask_at_once(deployment, 8)
+        await deployment.restart_replicas('model-1', _COLD_MS)
+        with _without_outage_checks():
+            await trio.sleep(_EXPIRED_S)
+
+            await _ask_at_once(deployment)
+
+        assert len(deployment.replicas['model-1'].requests) <= _MOST
+
+
+@run_with_timeout
+async def test_a_health_check_that_is_rejected_settles_no_doubt():
+    """Guards against full rate to an upstream that told nothing of itself."""
+    async with deploy_entry() as deployment:
+        for replica in _models(deployment):
+            replica.rejects_health_checks = True
+        doubts = deployment.gateway.views.fleet.doubts
+        for name in ('model-1', 'model-2'):
+            doubts.add(name)
+
+        await _ask_at_once(deployment)
+
+        assert not _most_received(deployment)
+
+
+@run_with_timeout
+async def test_a_slow_health_check_of_a_peer_stops_no_requests():
+    """Guards against a busy upstream that all instances come to suspect."""
+    async with deploy_two_instances() as (deployment, second):
+        with _without_outage_checks():
+            for replica in _models(deployment):
+                replica.ignores_health_checks = True
+            for known in second.views.fleet.all_upstreams():
+                await is_healthy(second, known)
+            await trio.sleep(_NOTICE_S)
+
+            await _ask_at_once(deployment, 8)
+
+        assert sum(len(model.requests) for model in _models(deployment)) == 8
+
+
 @run_with_timeout
 async def test_an_instance_learns_from_a_peer_that_an_upstream_is_cold():
     """Guards against a health answer that only one instance knows of."""
     async with deploy_two_instances() as (deployment, second):
-        _turn_cold(deployment)
-        for known in second.views.fleet.all_upstreams():
-            await is_healthy(second, known)
-        await trio.sleep(_NOTICE_S)
+        # An instance that has just started would send nothing to a cold one.
+        await trio.sleep(_KNOWS_PEERS_S)
+        with _without_outage_checks():
+            _turn_cold(deployment)
+            for known in second.views.fleet.all_upstreams():
+                await is_healthy(second, known)
+            await trio.sleep(_NOTICE_S)
 
-        await _ask_at_once(deployment)
+            for _ in range(_REQUESTS):
+                await _ask(deployment)
 
         assert _most_received(deployment) <= _MOST
+        assert sum(len(model.requests) for model in _models(deployment))
+
+
+@run_with_timeout
+async def test_a_peer_tells_that_a_cold_upstream_has_started_again():
+    """Guards against news of a later warm-up during a known one."""
+    async with deploy_two_instances() as (deployment, second):
+        with _without_outage_checks():
+            fleet = deployment.gateway.views.fleet
+            fleet.record_warm_up('model-1', milliseconds(_COLD_MS / 2))
+            _turn_cold(deployment)
+            known = second.views.fleet.find('model-1')
+            assert known is not None
+            await is_healthy(second, known)
+            await trio.sleep(_NOTICE_S)
+
+            left = fleet.told_warm_ups.end_of('model-1')
+            left -= deployment.gateway.clock.elapsed()
+            assert left > milliseconds(_COLD_MS / 2)
 
 
 @run_with_timeout
