Take a version for known only if its record is of the process

A stream was noted with the version that its upstream had when it was chosen, also if the record changed before the answer; and an upstream that had started again, as its own word showed, counted as its old version once its warm-up was over, whatever the record's age (both found by the reviewer).

--- a/src/masticstage/edges/dispatch.py
+++ b/src/masticstage/edges/dispatch.py
@@ -303,7 +303,11 @@
         return DispatchOutcome(
             evidence, upstream, 'answer to another request', basis=basis
         )
-    software = answering_software(gateway, head, choice, upstream)
+    software = (
+        answering_software(gateway, head, choice, upstream)
+        if routed.is_stream
+        else None
+    )
     if evidence is Evidence.ANSWERED and routed.is_stream:
         outcome = await _open_stream(connection, head, upstream, framer)
         outcome.software = software
--- a/src/masticstage/edges/origins/software.py
+++ b/src/masticstage/edges/origins/software.py
@@ -4,9 +4,9 @@
 
 from masticstage.edges.answer_parser import AnswerHead
 from masticstage.edges.gateway import Gateway
-from masticstage.edges.notices import find_record
 from masticstage.forwarding.candidates import Choice
 from masticstage.forwarding.requests import Header
+from masticstage.forwarding.view import KnownUpstream
 
 #: From a peer that relayed: "=" and the version of the upstream that answered,
 #: empty if it is unknown there.
@@ -19,18 +19,27 @@
 ) -> str | None:
     """Returns the version of the upstream that answered, None if unknown.
 
+    It is unknown if the record has changed since the upstream was chosen.
     Older programs do not name it when they relay.
     """
-    if choice.candidate.via is None:
-        return gateway.views.chooser.software_of(
-            choice.candidate.known_upstream
-        )
     named = dict(head.headers).get(SOFTWARE_HEADER)
-    if named is not None:
+    if choice.candidate.via is not None and named is not None:
         _, known, software = named.decode('latin-1').partition(_KNOWN)
         return software if known else None
-    record = find_record(gateway.views.fleet, upstream)
-    return record.software if record else None
+    current = _find(gateway, upstream)
+    if current is None:
+        return None
+    chosen = choice.candidate.known_upstream.record
+    is_same = chosen.started_at_ms == current.record.started_at_ms
+    if choice.candidate.via is None and not is_same:
+        return None
+    return gateway.views.chooser.software_of(current)
+
+
+def _find(gateway: Gateway, upstream: str) -> KnownUpstream | None:
+    """Returns a published upstream by name, also one that leaves."""
+    known = gateway.views.fleet.all_upstreams()
+    return next((one for one in known if one.record.name == upstream), None)
 
 
 def software_header(software: str | None) -> Header:
--- a/src/masticstage/forwarding/candidate_finder.py
+++ b/src/masticstage/forwarding/candidate_finder.py
@@ -48,11 +48,11 @@
     def software_of(self, upstream: KnownUpstream) -> str | None:
         """Returns the software version of an upstream, None if unknown.
 
-        One that is cold, unlike its record, may be a process that has started
+        One that was cold, unlike its record, may be a process that has started
         since, of another version.
         """
         record = upstream.record
-        if self.is_cold(upstream) and not record.cold_for:
+        if self._view.told_warm_ups.is_unlike_record(record.name):
             return None
         return record.software
 
--- a/src/masticstage/forwarding/view.py
+++ b/src/masticstage/forwarding/view.py
@@ -261,6 +261,8 @@
         self.told_warm_ups.record(name, cold_for)
         for upstream in self._upstreams.values():
             if upstream.record.name == name:
+                if not upstream.record.cold_for:
+                    self.told_warm_ups.note_unlike_record(name)
                 # Each answer of a cold upstream reports its warm-up again.
                 upstream.awaits_pace |= upstream.cold_until <= now
                 upstream.cold_until = self.told_warm_ups.end_of(name)
@@ -300,6 +302,8 @@
             if known is None
             else known.record.started_at_ms != record.started_at_ms
         )
+        if is_new or known is None or record.cold_for:
+            self.told_warm_ups.note_record(record.name)
         self.removals.ended.forget(record)
         self._upstreams[key] = KnownUpstream(
             record,
--- a/src/masticstage/forwarding/warmups/told.py
+++ b/src/masticstage/forwarding/warmups/told.py
@@ -21,6 +21,22 @@
 
     _clock: Clock
     _ends: dict[str, timedelta] = attrs.field(factory=dict)
+    _unlike_record: set[str] = attrs.field(factory=set)
+
+    def note_unlike_record(self, upstream: str) -> None:
+        """Notes that an upstream is cold and its record is not.
+
+        The process may have started after its record was written.
+        """
+        self._unlike_record.add(upstream)
+
+    def note_record(self, upstream: str) -> None:
+        """Notes that a record of this start, or of its warm-up, is read."""
+        self._unlike_record.discard(upstream)
+
+    def is_unlike_record(self, upstream: str) -> bool:
+        """Returns whether the record may be of an earlier process."""
+        return upstream in self._unlike_record
 
     def record(self, upstream: str, cold_for: timedelta) -> None:
         """Records the rest of a warm-up, as told now."""
