--- a/src/masticstage/edges/records.py
+++ b/src/masticstage/edges/records.py
@@ -41,7 +41,9 @@
     taken all of them.
     """
     before = gateway.views.records.revision
-    if updates.is_snapshot:
+    if updates.is_snapshot and updates.position > (
+        gateway.views.records.position
+    ):
         # What was written and removed before is not in it.
         gateway.views.origins.history.restart()
     if _begins_era(gateway, updates):
