--- a/src/masticstage/edges/continuations.py
+++ b/src/masticstage/edges/continuations.py
@@ -36,15 +36,13 @@
     been an earlier one of its own.
     """
     routed = context.routed
-    origin = routed.origin
-    if origin is None or origin.software is None:
+    if routed.origin is None or not routed.is_stream:
         return
-    if routed.is_stream and routed.route.is_resumable:
-        request = routed.request
-        notes = context.gateway.views.origins.notes
-        notes.record(request.request_id, origin)
-        if request.resumes:
-            notes.record(request.resumes, origin)
+    if routed.route.is_resumable:
+        notes, request = context.gateway.views.origins.notes, routed.request
+        notes.record(request.request_id, routed.origin)
+        if request.last_event_id:
+            notes.record_take_up(request.resumes, routed.origin)
 
 
 def _media_type(outcome: DispatchOutcome) -> bytes:
--- a/src/masticstage/edges/origins/spreading.py
+++ b/src/masticstage/edges/origins/spreading.py
@@ -41,7 +41,8 @@
 def learn_origins(gateway: Gateway, messages: Iterable[pb.OriginNote]) -> None:
     """Keeps the notes of another instance."""
     for message in messages:
-        origin = Origin(message.service, message.software)
+        software = message.software if message.HasField('software') else None
+        origin = Origin(message.service, software)
         note = OriginNote(message.request_id, origin)
         gateway.views.origins.notes.learn(note)
 
@@ -90,7 +91,7 @@
         pb.OriginNote(
             request_id=note.request_id,
             service=note.origin.service,
-            software=note.origin.software or '',
+            software=note.origin.software,
         )
         for note in notes
     )
--- a/src/masticstage/edges/origins/take_ups.py
+++ b/src/masticstage/edges/origins/take_ups.py
@@ -7,7 +7,7 @@
 
 from masticstage.edges.dispatch_outcome import RoutedRequest
 from masticstage.edges.gateway import Gateway
-from masticstage.edges.origins.questions import ask_peers, find_known
+from masticstage.edges.origins.questions import find_origin_of
 from masticstage.edges.refusals import Refusal
 from masticstage.forwarding.origins.origin import Origin
 
@@ -27,26 +27,28 @@
     is_take_up = routed.route.is_resumable and bool(request.last_event_id)
     if not routed.is_stream or not is_take_up:
         return routed
-    origin, source = find_known(gateway, request.resumes, routed.service), 'own'
-    if origin is None:
-        origin = await ask_peers(gateway, request.resumes, routed.service)
-        source = 'peer'
-    _log_take_up(gateway, routed, origin, source)
-    if origin is None or origin.service not in routed.route.services:
-        return Refusal(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            _MOVED if origin else _UNKNOWN_ORIGIN,
-            request.allowance,
-            routed.team_name,
-        )
+    # Shares of a route choose by the request that began the stream.
+    service = routed.route.service_for(request.resumes)
+    origin = await find_origin_of(gateway, request.resumes, service)
+    _log_take_up(gateway, routed, origin)
+    if origin is None or origin.software is None:
+        return _refuse(routed, _UNKNOWN_ORIGIN)
+    if origin.service not in routed.route.services:
+        return _refuse(routed, _MOVED)
     return attrs.evolve(routed, origin=origin, service=origin.service)
 
 
+def _refuse(routed: RoutedRequest, reason: str) -> Refusal:
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        reason,
+        routed.request.allowance,
+        routed.team_name,
+    )
+
+
 def _log_take_up(
-    gateway: Gateway,
-    routed: RoutedRequest,
-    origin: Origin | None,
-    source: str,
+    gateway: Gateway, routed: RoutedRequest, origin: Origin | None
 ) -> None:
     """Logs what is known of the origin, and counts it."""
     gateway.metrics.count('take_ups' if origin else 'take_ups_unknown')
@@ -57,5 +59,4 @@
         last_event=routed.request.last_event_id,
         service=origin.service if origin else '',
         software=origin.software if origin else None,
-        source=source if origin else '',
     )
--- a/src/masticstage/forwarding/origins/history.py
+++ b/src/masticstage/forwarding/origins/history.py
@@ -37,17 +37,18 @@
         versions = self._last_seen.setdefault(record.service, {})
         versions[record.software] = self._clock.elapsed()
 
+    def versions(self, service: str, lifetime: timedelta) -> set[str]:
+        """Returns the versions that were in service within a time."""
+        oldest = self._clock.elapsed() - lifetime
+        seen = self._last_seen.get(service, {})
+        return {version for version, at in seen.items() if at >= oldest}
+
     def sole_version(self, service: str, lifetime: timedelta) -> str | None:
         """Returns the only version in service within a time.
 
         None if there were several or none, or if some may have been missed.
         """
-        now = self._clock.elapsed()
-        if now - self._complete_since < lifetime:
+        if self._clock.elapsed() - self._complete_since < lifetime:
             return None
-        recent = [
-            version
-            for version, seen_at in self._last_seen.get(service, {}).items()
-            if now - seen_at <= lifetime
-        ]
-        return recent[0] if len(recent) == 1 else None
+        versions = self.versions(service, lifetime)
+        return versions.pop() if len(versions) == 1 else None
--- a/src/masticstage/forwarding/origins/known.py
+++ b/src/masticstage/forwarding/origins/known.py
@@ -1,5 +1,6 @@
 """What an instance knows of the origins of streams."""
 
+from collections.abc import Sequence
 from datetime import timedelta
 from typing import Final, final
 
@@ -16,6 +17,19 @@
 _LIFETIME_FACTOR: Final = 2
 
 
+@attrs.frozen
+class Statement:
+    """What one instance states of a stream's origin, None if nothing.
+
+    It is noted, or follows from the only version in service; `has_several`
+    tells that there were several.
+    """
+
+    origin: Origin | None = None
+    is_noted: bool = False
+    has_several: bool = False
+
+
 @final
 @attrs.frozen
 class Origins:
@@ -24,19 +38,34 @@
     notes: OriginNotes
     history: SoftwareHistory
 
-    def find(
+    def state(
         self, request_id: str, service: str, lifetime: timedelta
-    ) -> Origin | None:
-        """Returns what began a stream of a service, None if unknown.
-
-        Without a note that is the only version that has been in service for as
-        long as a stream may last.
-        """
+    ) -> Statement:
+        """Returns what is known here of a stream that began at a request."""
         noted = self.notes.find(request_id)
         if noted is not None:
-            return noted
+            return Statement(noted, is_noted=True)
+        if len(self.history.versions(service, lifetime)) > 1:
+            return Statement(has_several=True)
         software = self.history.sole_version(service, lifetime)
-        return None if software is None else Origin(service, software)
+        return Statement(
+            None if software is None else Origin(service, software)
+        )
+
+
+def conclude(statements: Sequence[Statement]) -> Origin | None:
+    """Returns the origin that follows from what several instances state.
+
+    A note goes before all else. Without any, the only version is the origin if
+    no instance has seen another: views of the fleet differ for a moment.
+    """
+    noted = {state.origin for state in statements if state.is_noted}
+    if noted:
+        return noted.pop() if len(noted) == 1 else None
+    if any(state.has_several for state in statements):
+        return None
+    origins = {state.origin for state in statements} - {None}
+    return origins.pop() if len(origins) == 1 else None
 
 
 def stream_lifetime(table: RouteTable | None) -> timedelta:
--- a/src/masticstage/forwarding/origins/notes.py
+++ b/src/masticstage/forwarding/origins/notes.py
@@ -11,6 +11,8 @@
 
 #: Notes that are kept; the oldest are dropped.
 _MAX_NOTES: Final = 16_384
+#: Longest request id that is noted; a stream with a longer one cannot go on.
+_MAX_ID_LENGTH: Final = 64
 
 
 @attrs.frozen
@@ -40,9 +42,15 @@
     _unsent: dict[str, None] = attrs.field(factory=dict)
 
     def record(self, request_id: str, origin: Origin) -> None:
-        """Notes the origin of a stream that begins, or goes on, here."""
-        self._store(request_id, _Note(origin, self._clock.elapsed()))
-        self._unsent[request_id] = None
+        """Notes the origin of a stream that begins here."""
+        if len(request_id) <= _MAX_ID_LENGTH:
+            self._store(request_id, _Note(origin, self._clock.elapsed()))
+            self._unsent[request_id] = None
+
+    def record_take_up(self, request_id: str, origin: Origin) -> None:
+        """Notes the origin of a stream that goes on here, if there is none."""
+        if request_id not in self._notes:
+            self.record(request_id, origin)
 
     def learn(self, note: OriginNote) -> None:
         """Keeps the note of another instance."""
--- a/tests/edges/test_software_versions.py
+++ b/tests/edges/test_software_versions.py
@@ -3,12 +3,17 @@
 The replicas of the model have versions; a stream has six events.
 """
 
+from contextlib import contextmanager
 from datetime import timedelta
+from unittest.mock import patch
 
 import attrs
 import pytest
 import trio
 
+from masticstage.clock import milliseconds
+from masticstage.forwarding.origins.origin import Origin
+from masticstage.forwarding.outage import OutageTracker
 from masticstage.forwarding.routes import Share
 from standins.faults import Fault
 from tests.edges.deployment import (
@@ -26,6 +31,8 @@
 )
 #: Longer than the interval at which notes are sent to other instances.
 _SPREAD_S = 0.6
+#: Longer than the streams of short routes last.
+_PROVED_S = 0.9
 
 
 def _set_versions(gateway, **versions):
@@ -38,6 +45,12 @@
             gateway.views.fleet.apply(f'u/{record.name}', changed)
 
 
+def _observe_all(gateway):
+    history = gateway.views.origins.history
+    for known in gateway.views.fleet.all_upstreams():
+        history.observe(known.record)
+
+
 def _take_up(request_id, last_event=3):
     return (
         *_STREAM,
@@ -287,3 +300,102 @@
 
         assert not is_complete
         assert b'piece 4' not in body
+
+
+@contextmanager
+def _store_answers():
+    """Makes instances take their view of the fleet for the latest."""
+    with patch.object(OutageTracker, 'is_ongoing', new=False):
+        yield
+
+
+def _short_streams():
+    """Returns a configuration whose streams last for less than a second."""
+    return build_table(1, build_stream_route(limit=milliseconds(400)))
+
+
+@run_with_timeout
+async def test_a_take_up_goes_on_if_there_was_only_one_version():
+    """Guards against refusals on an ordinary day (LOST)."""
+    with _store_answers():
+        async with deploy_entry(_short_streams()) as deployment:
+            _set_versions(deployment.gateway, model_1='v1', model_2='v1')
+            await trio.sleep(_PROVED_S)
+            _observe_all(deployment.gateway)
+
+            status, _, _ = await deployment.request(
+                b'/ask/1', b'', *_take_up('before', 5)
+            )
+
+            assert status == 200
+
+
+@run_with_timeout
+async def test_a_note_of_a_peer_goes_before_the_only_version_seen_here():
+    """Guards against a view that is a moment behind."""
+    with _store_answers():
+        async with deploy_two_instances(_short_streams()) as pair:
+            deployment, second = pair
+            _set_versions(second, model_1='v1', model_2='v1')
+            await trio.sleep(_PROVED_S)
+            _observe_all(second)
+            notes = deployment.gateway.views.origins.notes
+            notes.record('r-9', Origin('model', 'v2'))
+            elsewhere = Deployment(second, deployment.replicas, last_id=10)
+
+            status, _, body = await elsewhere.request(
+                b'/ask/1', b'', *_take_up('r-9', 5)
+            )
+
+            assert status == 503
+            assert b'has left' in body
+            assert not _served(deployment)
+
+
+@run_with_timeout
+async def test_an_answer_that_cannot_be_read_is_none():
+    """Guards against a take-up that ends without an answer."""
+    async with deploy_two_instances() as (deployment, second):
+        await trio.sleep(_SPREAD_S)
+        assert second.name == 'second'
+        with patch(
+            'masticstage.edges.origins.questions.post_message',
+            return_value=b'\xff',
+        ):
+            status, _, _ = await deployment.request(
+                b'/ask/1', b'', *_take_up('before')
+            )
+        assert status == 503
+
+
+@run_with_timeout
+async def test_a_version_that_changes_before_the_answer_is_unknown():
+    """Guards against a note of the version that was chosen."""
+    async with deploy_entry(replica_count=1) as deployment:
+        gateway = deployment.gateway
+
+        def start_anew(_request_id):
+            for known in gateway.views.fleet.all_upstreams():
+                record = attrs.evolve(
+                    known.record, software='v2', started_at_ms=9
+                )
+                gateway.views.fleet.apply(f'u/{record.name}', record)
+
+        deployment.replicas['model-1'].on_run = start_anew
+        await _begin(deployment)
+
+        origin = gateway.views.origins.notes.find('r-1')
+        assert origin == Origin('model', None)
+
+
+@run_with_timeout
+async def test_resumes_without_an_event_changes_no_note():
+    """Guards against a new stream that names another one."""
+    async with deploy_entry() as deployment:
+        notes = deployment.gateway.views.origins.notes
+        notes.record('r-0', Origin('model', 'v1'))
+        _set_versions(deployment.gateway, model_1='v2', model_2='v2')
+
+        await deployment.request(b'/ask/1', b'', *_STREAM, (b'resumes', b'r-0'))
+
+        assert notes.find('r-0') == Origin('model', 'v1')
--- a/tests/forwarding/test_origins.py
+++ b/tests/forwarding/test_origins.py
@@ -7,7 +7,12 @@
 
 from masticstage.clock import ManualClock
 from masticstage.forwarding.origins.history import SoftwareHistory
-from masticstage.forwarding.origins.known import Origins, stream_lifetime
+from masticstage.forwarding.origins.known import (
+    Origins,
+    Statement,
+    conclude,
+    stream_lifetime,
+)
 from masticstage.forwarding.origins.notes import OriginNote, OriginNotes
 from masticstage.forwarding.origins.origin import Origin
 from tests.forwarding_builders import (
@@ -28,6 +33,10 @@
     return clock, Origins(OriginNotes(clock), SoftwareHistory(clock))
 
 
+def _origin(origins, service='model'):
+    return conclude([origins.state('r-1', service, _LIFETIME)])
+
+
 def _observe(origins, *versions):
     for version in versions:
         origins.history.observe(build_record(service='model', software=version))
@@ -45,15 +54,15 @@
     clock, origins = _build_origins()
     clock.advance(_LIFETIME)
     _observe(origins, 'v1')
-    assert origins.find('r-1', 'model', _LIFETIME) == _V1
-    assert origins.find('r-1', 'other', _LIFETIME) is None
+    assert _origin(origins) == _V1
+    assert _origin(origins, 'other') is None
 
 
 def test_two_versions_of_a_lifetime_leave_the_origin_open():
     clock, origins = _build_origins()
     clock.advance(_LIFETIME)
     _observe(origins, 'v1', 'v2')
-    assert origins.find('r-1', 'model', _LIFETIME) is None
+    assert _origin(origins) is None
 
 
 def test_a_version_that_has_left_counts_for_a_lifetime():
@@ -63,10 +72,10 @@
     _observe(origins, 'v1')
     clock.advance(_LIFETIME)
     _observe(origins, 'v2')
-    assert origins.find('r-1', 'model', _LIFETIME) is None
+    assert _origin(origins) is None
     clock.advance(SECOND)
     _observe(origins, 'v2')
-    assert origins.find('r-1', 'model', _LIFETIME) == Origin('model', 'v2')
+    assert _origin(origins) == Origin('model', 'v2')
 
 
 def test_an_instance_that_has_just_started_proves_nothing():
@@ -74,7 +83,7 @@
     clock, origins = _build_origins()
     clock.advance(_LIFETIME - SECOND)
     _observe(origins, 'v1')
-    assert origins.find('r-1', 'model', _LIFETIME) is None
+    assert _origin(origins) is None
 
 
 def test_after_a_gap_nothing_is_proved_for_a_lifetime():
@@ -82,7 +91,7 @@
     clock.advance(_LIFETIME)
     origins.history.restart()
     _observe(origins, 'v1')
-    assert origins.find('r-1', 'model', _LIFETIME) is None
+    assert _origin(origins) is None
 
 
 def test_a_note_goes_before_the_versions_in_service():
@@ -90,7 +99,59 @@
     clock.advance(_LIFETIME)
     _observe(origins, 'v2')
     origins.notes.record('r-1', _V1)
-    assert origins.find('r-1', 'model', _LIFETIME) == _V1
+    assert _origin(origins) == _V1
+
+
+def test_a_noted_origin_of_unknown_version_is_not_proved_otherwise():
+    """Guards against a stream whose version became known too late."""
+    clock, origins = _build_origins()
+    clock.advance(_LIFETIME)
+    _observe(origins, 'v1')
+    origins.notes.record('r-1', Origin('model', None))
+    assert _origin(origins) == Origin('model', None)
+
+
+_V2 = Origin('model', 'v2')
+
+
+@pytest.mark.parametrize(
+    ('statements', 'expected'),
+    [
+        ([], None),
+        ([Statement()], None),
+        ([Statement(_V1), Statement()], _V1),
+        ([Statement(_V1), Statement(_V1)], _V1),
+        # An instance whose view is a moment behind, and one with a note.
+        ([Statement(_V1), Statement(_V2, is_noted=True)], _V2),
+        ([Statement(_V1), Statement(has_several=True)], None),
+        ([Statement(_V1), Statement(_V2)], None),
+        (
+            [
+                Statement(_V1, is_noted=True),
+                Statement(_V2, is_noted=True),
+            ],
+            None,
+        ),
+        ([Statement(_V1, is_noted=True), Statement(has_several=True)], _V1),
+    ],
+)
+def test_statements_of_several_instances_are_combined(statements, expected):
+    assert conclude(statements) == expected
+
+
+def test_a_take_up_replaces_no_note():
+    _, origins = _build_origins()
+    origins.notes.record('r-1', _V1)
+    origins.notes.record_take_up('r-1', _V2)
+    origins.notes.record_take_up('r-2', _V2)
+    assert origins.notes.find('r-1') == _V1
+    assert origins.notes.find('r-2') == _V2
+
+
+def test_long_ids_are_not_noted():
+    _, origins = _build_origins()
+    origins.notes.record('r' * 65, _V1)
+    assert origins.notes.find('r' * 65) is None
 
 
 def test_notes_are_sent_once_and_only_if_they_are_needed():
@@ -163,6 +224,38 @@
     assert instance.chooser.software_of(known) == expected
 
 
+def test_a_late_record_makes_the_version_known_again():
+    instance = build_simulated_instance()
+    record = build_record(service='model', software='v1', started_at_ms=7)
+    instance.add_upstream(record)
+    instance.view.record_warm_up('u-1', SECOND)
+    instance.advance(2)
+    # Written before the start.
+    instance.add_upstream(record)
+    known = instance.view.find('u-1')
+    assert known is not None
+    assert instance.chooser.software_of(known) is None
+
+    instance.add_upstream(attrs.evolve(record, software='v2', started_at_ms=9))
+
+    known = instance.view.find('u-1')
+    assert known is not None
+    assert instance.chooser.software_of(known) == 'v2'
+
+
+def test_a_relayed_stream_goes_on_only_at_its_version():
+    """Guards against the choice that a peer makes again."""
+    instance = build_simulated_instance()
+    for name, version in (('u-1', 'v1'), ('u-2', 'v2')):
+        record = build_record(name, service='model', software=version)
+        instance.add_upstream(record)
+    choice = instance.chooser.choose_local(
+        build_request(), build_stream_route(), 'u-2', (), _V1
+    )
+    assert choice is not None
+    assert choice.upstream == 'u-1'
+
+
 def test_a_stream_goes_on_only_at_its_version():
     instance = build_simulated_instance()
     for name, version in (('u-1', 'v1'), ('u-2', 'v2')):
