--- a/tests/edges/test_cold_upstreams.py
+++ b/tests/edges/test_cold_upstreams.py
@@ -102,6 +102,18 @@
         assert len(deployment.replicas['model-1'].requests) <= _MOST
 
 
+@run_with_timeout
+async def test_a_start_that_nobody_noticed_is_not_met_by_a_flood():
+    """Guards against full rate to a process to which nobody was connected."""
+    async with deploy_entry() as deployment:
+        with _without_outage_checks():
+            await deployment.restart_replicas('model', _COLD_MS)
+
+            await _ask_at_once(deployment)
+
+        assert _most_received(deployment) <= _MOST
+
+
 @run_with_timeout
 async def test_ended_connections_are_a_sign_after_they_have_expired():
     """Guards against a sign that is lost as old connections are closed."""
--- a/tests/edges/test_software_versions.py
+++ b/tests/edges/test_software_versions.py
@@ -399,3 +399,16 @@
         await deployment.request(b'/ask/1', b'', *_STREAM, (b'resumes', b'r-0'))
 
         assert notes.find('r-0') == Origin('model', 'v1')
+
+
+@run_with_timeout
+async def test_a_process_that_started_after_its_record_has_no_known_version():
+    """Guards against a start under the old name with other software."""
+    async with deploy_entry(replica_count=1) as deployment:
+        _set_versions(deployment.gateway, model_1='v1')
+        await deployment.restart_replicas('model-1', cold_ms=3000)
+
+        await _begin(deployment)
+
+        notes = deployment.gateway.views.origins.notes
+        assert notes.find('r-1') == Origin('model', None)
